--- /dev/null
+++ b/filbertstep/_metrics.py
@@ -0,0 +1,84 @@
+"""Prometheus metrics of a node, with bounded label sets.
+
+Labels take values from the configuration (services, client accounts, regions)
+and from closed lists (error kinds), never from what a caller sent.
+"""
+
+import prometheus_client
+
+# Upper bounds in seconds; the shortest is below one hop between availability
+# zones, the longest is the longest deadline.
+LATENCY_BUCKETS_S = (
+    0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0,
+    2.0, 5.0, 10.0,
+)  # fmt: skip
+
+
+class Metrics:
+    """Counters, gauges and histograms of one node."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            'filbertstep_requests',
+            'Requests by service, account and outcome (an error kind or ok).',
+            ('service', 'client_account', 'outcome'),
+            registry=self.registry,
+        )
+        self.latency = prometheus_client.Histogram(
+            'filbertstep_request_seconds',
+            'Time from the arrival of a request to the end of its answer.',
+            ('service',),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.lookups = prometheus_client.Counter(
+            'filbertstep_lookups',
+            'Look-ups by service.',
+            ('service',),
+            registry=self.registry,
+        )
+        self.events = prometheus_client.Counter(
+            'filbertstep_events',
+            'Changes of state, retries, transfers and loans by name.',
+            ('event',),
+            registry=self.registry,
+        )
+        self.peer_calls = prometheus_client.Counter(
+            'filbertstep_peer_calls',
+            'Calls to other VMs by path and outcome.',
+            ('path', 'outcome'),
+            registry=self.registry,
+        )
+        self.store_calls = prometheus_client.Counter(
+            'filbertstep_store_calls',
+            'Calls to the store by operation and outcome.',
+            ('operation', 'outcome'),
+            registry=self.registry,
+        )
+        self.evidence_age = prometheus_client.Gauge(
+            'filbertstep_evidence_age_seconds',
+            'Age of the evidence that the known head is the newest.',
+            registry=self.registry,
+        )
+        self.head_index = prometheus_client.Gauge(
+            'filbertstep_head_index',
+            'Newest head index known.',
+            registry=self.registry,
+        )
+        self.running = prometheus_client.Gauge(
+            'filbertstep_running_requests',
+            'Requests on a backend server now.',
+            ('service',),
+            registry=self.registry,
+        )
+        self.queued = prometheus_client.Gauge(
+            'filbertstep_queued_requests',
+            'Requests waiting for a slot now.',
+            ('service',),
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/filbertstep/_settings.py
@@ -0,0 +1,142 @@
+"""Settings of a node: one typed object, checked once at the start.
+
+The file is JSON with comments.  Nothing else in the package reads a file or
+the environment.  Secrets (peers' and operators' tokens) are settings too, so
+the file must be readable only by the node's user.
+"""
+
+import pathlib
+import typing
+
+import msgspec
+import result
+
+from filbertstep import codec
+from filbertstep import config
+
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Token = typing.Annotated[str, msgspec.Meta(min_length=16)]
+
+
+class TlsDoc(typing.TypedDict):
+    """Certificate chain and private key of a listener, PEM files."""
+
+    certificate: str
+    private_key: str
+
+
+class ListenerDoc(typing.TypedDict):
+    """Address of a listener, and the URL under which others reach it."""
+
+    host: str
+    port: Port
+    url: str
+    tls: typing.NotRequired[TlsDoc]
+
+
+class SettingsDoc(typing.TypedDict):
+    """Settings file of a node."""
+
+    vm: config.Name
+    region: config.Name
+    availability_zone: config.Name
+    callers: ListenerDoc
+    peers: ListenerDoc
+    operators: ListenerDoc
+    peer_token: Token
+    operator_tokens: list[Token]
+    store_url: str
+    vm_list_url: str
+    log_level: typing.NotRequired[
+        typing.Literal['DEBUG', 'INFO', 'NOTICE', 'WARNING', 'ERROR']
+    ]
+    history_file: typing.NotRequired[str]
+    ca_file: typing.NotRequired[str]
+    stop_timeout_s: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(gt=0, le=600)]
+    ]
+
+
+class Listener(typing.NamedTuple):
+    """Where a listener binds, its URL, and its TLS files if any."""
+
+    host: str
+    port: int
+    url: str
+    certificate: str | None
+    private_key: str | None
+
+
+class NodeSettings(typing.NamedTuple):
+    """Checked settings of a node.
+
+    ``ca_file`` verifies peers' certificates.  ``stop_timeout_s`` bounds a
+    graceful shutdown in seconds.
+    """
+
+    vm: str
+    region: str
+    availability_zone: str
+    callers: Listener
+    peers: Listener
+    operators: Listener
+    peer_token: str
+    operator_tokens: tuple[str, ...]
+    store_url: str
+    vm_list_url: str
+    log_level: str
+    history_file: str | None
+    ca_file: str | None
+    stop_timeout_s: float
+
+
+def listener_row(doc: ListenerDoc) -> Listener:
+    """Return the row of a listener's document."""
+    tls = doc.get('tls')
+    return Listener(
+        host=doc['host'],
+        port=doc['port'],
+        url=doc['url'].rstrip('/'),
+        certificate=tls['certificate'] if tls else None,
+        private_key=tls['private_key'] if tls else None,
+    )
+
+
+def parse(text: str) -> result.Result[NodeSettings, str]:
+    """Check the text of a settings file; the error names the field."""
+    decoded = codec.decode_with_comments(text, SettingsDoc)
+    if isinstance(decoded, result.Err):
+        return decoded
+    doc = decoded.ok_value
+    for field in ('store_url', 'vm_list_url'):
+        if not str(doc[field]).startswith(('http://', 'https://')):
+            return result.Err(
+                f'an http or https URL expected - at `$.{field}`'
+            )
+    return result.Ok(
+        NodeSettings(
+            vm=doc['vm'],
+            region=doc['region'],
+            availability_zone=doc['availability_zone'],
+            callers=listener_row(doc['callers']),
+            peers=listener_row(doc['peers']),
+            operators=listener_row(doc['operators']),
+            peer_token=doc['peer_token'],
+            operator_tokens=tuple(doc['operator_tokens']),
+            store_url=doc['store_url'].rstrip('/'),
+            vm_list_url=doc['vm_list_url'].rstrip('/'),
+            log_level=doc.get('log_level', 'INFO'),
+            history_file=doc.get('history_file'),
+            ca_file=doc.get('ca_file'),
+            stop_timeout_s=doc.get('stop_timeout_s', 60.0),
+        )
+    )
+
+
+def load(path: str) -> result.Result[NodeSettings, str]:
+    """Read and check a settings file."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err(f'cannot read settings file {path}: {error}')
+    return parse(text)
--- /dev/null
+++ b/filbertstep/_systems.py
@@ -0,0 +1,175 @@
+"""Contracts between the systems of a node.
+
+Each system owns its tables and is their only writer.  The others reach it
+through the abstract base classes here, so that each can be tested with a fake
+of its neighbours.  All times are seconds of ``clock.Clock``.
+"""
+
+import abc
+import collections.abc
+import typing
+
+import result
+
+from filbertstep import errors
+from filbertstep import transport
+
+Handler = collections.abc.Callable[
+    [transport.Message],
+    collections.abc.Awaitable[
+        result.Result[transport.Message, errors.Failure]
+    ],
+]
+"""Answers one call of a peer."""
+
+# Time in seconds between two ticks of the systems.
+TICK_S: typing.Final = 0.1
+
+
+class System(abc.ABC):
+    """Something that runs over its tables each tick."""
+
+    @abc.abstractmethod
+    def tick(self, now: float) -> None:
+        """Do the work that is due; must return quickly and never wait."""
+
+    def handlers(self) -> dict[str, Handler]:
+        """Return the peers' paths that this system answers."""
+        return {}
+
+
+class HeartbeatPart(abc.ABC):
+    """A system's part of the heartbeat that VMs send each other."""
+
+    part_name: typing.ClassVar[str]
+
+    @abc.abstractmethod
+    def payload(self, now: float) -> dict[str, typing.Any]:
+        """Return this VM's part, as a JSON object."""
+
+    @abc.abstractmethod
+    def receive(
+        self,
+        vm: str,
+        incarnation: str,
+        payload: dict[str, typing.Any],
+        now: float,
+    ) -> None:
+        """Take a peer's part; must ignore what it cannot read."""
+
+
+class Freshness(abc.ABC):
+    """Whether this VM may act on the views that it knows."""
+
+    @abc.abstractmethod
+    def fresh(self, now: float) -> bool:
+        """Tell whether the evidence about the newest head is young enough."""
+
+
+class LiveVm(typing.NamedTuple):
+    """A VM that has been heard within ``SUSPECT_AFTER``.
+
+    ``minute`` is its own minute counter from its last heartbeat, ``state``
+    one of joining, serving, draining and leaving, ``url`` that of its
+    callers' listener, ``burden`` the part of its slots that is in use.
+    """
+
+    vm: str
+    incarnation: str
+    region: str
+    availability_zone: str
+    state: str
+    url: str
+    minute: int
+    burden: float
+
+
+class Membership(abc.ABC):
+    """The VMs that this VM can talk to."""
+
+    @abc.abstractmethod
+    def live(self, now: float) -> list[LiveVm]:
+        """Return the other VMs that are live, sorted by name."""
+
+
+class Shares(abc.ABC):
+    """Token buckets that all VMs share; a resource is named by a string.
+
+    Resources are ``client_account/<name>`` (in requests) and ``link/<name>``
+    (in bytes).
+    """
+
+    @abc.abstractmethod
+    def try_take(self, resource: str, amount: float, now: float) -> bool:
+        """Take tokens if this VM's bucket has them."""
+
+    @abc.abstractmethod
+    async def take(
+        self, resource: str, amount: float, timeout_s: float
+    ) -> bool:
+        """Take tokens, asking peers for more until the time is up."""
+
+    @abc.abstractmethod
+    def give_back(self, resource: str, amount: float, now: float) -> None:
+        """Return tokens that were taken and not used."""
+
+    @abc.abstractmethod
+    def charge(self, resource: str, amount: float, now: float) -> None:
+        """Take tokens for what was used already; the bucket may go below 0."""
+
+    @abc.abstractmethod
+    def retry_after(self, resource: str, now: float) -> float:
+        """Return seconds until one token is expected, at least 0.05."""
+
+
+class SlotHold(typing.NamedTuple):
+    """A slot of a backend server in use by one request.
+
+    ``run_until`` is the latest time at which the request may still run.
+    """
+
+    server: str
+    slot: int
+    service: str
+    region: str
+    lender: str | None
+    run_until: float
+
+
+class Slots(abc.ABC):
+    """Slots of backend servers that this VM may use."""
+
+    @abc.abstractmethod
+    def idle(self, service: str, region: str, now: float) -> dict[str, int]:
+        """Return the number of usable idle slots by backend server."""
+
+    @abc.abstractmethod
+    def in_use(self, server: str) -> int:
+        """Return how many slots of a backend server this VM is using."""
+
+    @abc.abstractmethod
+    def acquire(
+        self, server: str, run_for_s: float, now: float
+    ) -> SlotHold | None:
+        """Use an idle slot for at most a time, or return None."""
+
+    @abc.abstractmethod
+    def release(self, hold: SlotHold, now: float) -> None:
+        """Return a slot after its request ended.
+
+        A hold whose request may still run on the backend server (connection
+        broken, cancelled) must be released only at ``run_until``; see
+        ``release_at_deadline``.
+        """
+
+    @abc.abstractmethod
+    def release_at_deadline(self, hold: SlotHold) -> None:
+        """Keep a slot busy until ``run_until``, then release it."""
+
+    @abc.abstractmethod
+    def want(self, service: str, region: str, count: int, now: float) -> None:
+        """Note that requests wait here, so that slots are borrowed."""
+
+    @abc.abstractmethod
+    def room(self, service: str, now: float) -> dict[str, float]:
+        """Return the idle part of all VMs' slots of a service by region."""
--- /dev/null
+++ b/filbertstep/clock.py
@@ -0,0 +1,5 @@
+"""Clocks: the machine's own and one for tests."""
+
+from filbertstep._clock import Clock as Clock
+from filbertstep._clock import FakeClock as FakeClock
+from filbertstep._clock import SystemClock as SystemClock
--- /dev/null
+++ b/filbertstep/errors.py
@@ -0,0 +1,10 @@
+"""Error kinds, their answers, and the failure value that carries them."""
+
+from filbertstep._errors import Answer as Answer
+from filbertstep._errors import ANSWERS as ANSWERS
+from filbertstep._errors import error_body as error_body
+from filbertstep._errors import ErrorBody as ErrorBody
+from filbertstep._errors import ErrorKind as ErrorKind
+from filbertstep._errors import Failure as Failure
+from filbertstep._errors import Ran as Ran
+from filbertstep._errors import Retry as Retry
