--- /dev/null
+++ b/filbertstep/_http_peers.py
@@ -0,0 +1,132 @@
+"""Calls to other VMs over HTTP.
+
+A call that could not connect had no effect and fails as ``NOT_RUN``.  Once
+bytes may have gone out, a call without an answer fails as
+``OUTCOME_UNKNOWN``, because the peer may have acted on it.
+"""
+
+import collections.abc
+import ssl
+import typing
+
+import aiohttp
+import msgspec
+import result
+
+from filbertstep import codec
+from filbertstep import errors
+from filbertstep import metrics
+from filbertstep import transport
+
+
+class HttpPeers(transport.Peers):
+    """Sends messages to the peers' listeners of other VMs.
+
+    ``address`` returns the URL of a VM's peers' listener, or None while it
+    is not known.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        token: str,
+        address: collections.abc.Callable[[str], str | None],
+        tls: ssl.SSLContext | None,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.session = session
+        self.headers = {'Authorization': f'Bearer {token}'}
+        self.address = address
+        self.tls = tls
+        self.counters = counters
+
+    async def call(
+        self,
+        vm: str,
+        path: str,
+        message: transport.Message,
+        timeout_s: float,
+    ) -> result.Result[transport.Message, errors.Failure]:
+        """Send one message and wait for its answer."""
+        answer = await self.exchange(vm, path, message, timeout_s)
+        outcome = 'ok' if isinstance(answer, result.Ok) else 'error'
+        self.counters.peer_calls.labels(path, outcome).inc()
+        return answer
+
+    async def exchange(
+        self,
+        vm: str,
+        path: str,
+        message: transport.Message,
+        timeout_s: float,
+    ) -> result.Result[transport.Message, errors.Failure]:
+        """Do the HTTP exchange of one call."""
+        url = self.address(vm)
+        if url is None:
+            return failed(errors.ErrorKind.NOT_RUN, f'no address of {vm}')
+        try:
+            async with self.session.post(
+                url + path,
+                data=codec.encode(message),
+                headers=self.headers,
+                ssl=self.tls if self.tls is not None else True,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                return read_answer(response.status, await response.read())
+        except aiohttp.ClientConnectorError:
+            return failed(errors.ErrorKind.NOT_RUN, f'{vm} is unreachable')
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return failed(
+                errors.ErrorKind.OUTCOME_UNKNOWN, f'no answer from {vm}'
+            )
+
+
+class WireFailure(typing.TypedDict):
+    """A failure that a peer answers with."""
+
+    kind: str
+    message: str
+    ran: str
+    retry_after_s: float | None
+
+
+def failed(kind: errors.ErrorKind, message: str) -> result.Err[errors.Failure]:
+    """Return a failure as a result."""
+    return result.Err(errors.Failure(kind, message))
+
+
+def write_failure(failure: errors.Failure) -> bytes:
+    """Return the body of a peer's answer that is a failure."""
+    return codec.encode(
+        {
+            **errors.error_body(failure),
+            'retry_after_s': failure.retry_after_s,
+        }
+    )
+
+
+def read_answer(
+    status: int, body: bytes
+) -> result.Result[transport.Message, errors.Failure]:
+    """Decode a peer's answer."""
+    try:
+        decoded = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        decoded = None
+    if status == 200 and isinstance(decoded, dict):
+        return result.Ok(decoded)
+    checked = codec.convert(decoded, WireFailure)
+    if isinstance(checked, result.Err):
+        return failed(
+            errors.ErrorKind.OUTCOME_UNKNOWN,
+            f'a peer answered with status {status} and an unreadable body',
+        )
+    wire = checked.ok_value
+    try:
+        kind = errors.ErrorKind(wire['kind'])
+    except ValueError:
+        kind = errors.ErrorKind.INTERNAL
+    return result.Err(
+        errors.Failure(kind, wire['message'], wire['retry_after_s'])
+    )
