--- /dev/null
+++ b/filbertstep/_callers.py
@@ -0,0 +1,370 @@
+"""The callers' listener: look-ups, requests, and outcomes of request ids."""
+
+import asyncio
+import collections.abc
+import typing
+
+from aiohttp import web
+import result
+
+from filbertstep import _admission
+from filbertstep import _exchange
+from filbertstep import _recorder
+from filbertstep import _web
+from filbertstep import burn
+from filbertstep import clock
+from filbertstep import delivery
+from filbertstep import errors
+from filbertstep import lookup
+from filbertstep import metrics
+from filbertstep import systems
+
+REQUEST_ID_HEADER: typing.Final = 'X-Request-Id'
+GRANT_HEADER: typing.Final = 'X-Grant'
+
+# Limits of one request's head in bytes; more is answered with 400.
+MAX_LINE_BYTES: typing.Final = 8190
+MAX_FIELD_BYTES: typing.Final = 8190
+
+# Time in seconds for which ``/v1/outcome`` waits for a running request.
+OUTCOME_WAIT_S: typing.Final = 1.0
+
+# Time in seconds after a withdrawal until running answers of the key are cut.
+WITHDRAWN_GRACE_S: typing.Final = 5.0
+
+
+class Activity:
+    """A request that this VM is working on."""
+
+    def __init__(self, admitted: _admission.Admitted) -> None:
+        self.admitted = admitted
+        self.request_id = ''
+        self.withdrawn_at: float | None = None
+        self.stream_task: asyncio.Task[typing.Any] | None = None
+
+
+class Callers:
+    """Serves callers; counts every answer."""
+
+    def __init__(
+        self,
+        admission: _admission.Admission,
+        exchange: _exchange.Exchange,
+        lookups: lookup.LookupSystem,
+        freshness: systems.Freshness,
+        forwarder: delivery.Forwarder,
+        ticks: clock.Clock,
+        counters: metrics.Metrics,
+        burn_table: burn.BurnTable,
+        recorder: _recorder.Recorder,
+        region: str,
+    ) -> None:
+        self.admission = admission
+        self.exchange = exchange
+        self.lookups = lookups
+        self.freshness = freshness
+        self.forwarder = forwarder
+        self.ticks = ticks
+        self.counters = counters
+        self.burn_table = burn_table
+        self.recorder = recorder
+        self.region = region
+        self.active: dict[int, Activity] = {}
+        self.moved = False
+        self.checked_index = -1
+
+    def application(self) -> web.Application:
+        """Return the application of the callers' listener."""
+        app = web.Application(middlewares=[_web.closed_errors])
+        app.router.add_get('/v1/lookup', self.look_up)
+        app.router.add_get('/v1/outcome', self.get_outcome)
+        app.router.add_route('*', '/{tail:.*}', self.serve)
+        return app
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Answer which entry VMs to use."""
+        service = request.query.get('service', '')
+        client = request.query.get('client') or request.remote
+        answer = self.lookups.answer(service, client)
+        if isinstance(answer, result.Err):
+            return _web.error_response(answer.err_value)
+        self.counters.lookups.labels(service).inc()
+        return web.Response(
+            body=answer.ok_value, content_type='application/json'
+        )
+
+    async def get_outcome(self, request: web.Request) -> web.Response:
+        """Answer what became of a request id of the key's account."""
+        request_id = request.query.get('id', '')
+        now = self.ticks.now()
+        if not self.freshness.fresh(now):
+            return self.unconfirmed(request_id)
+        credentials = delivery.extract_key(raw_request(request).headers)
+        if isinstance(credentials, result.Err):
+            return _web.error_response(credentials.err_value)
+        digest = credentials.ok_value.digest
+        account = _admission.OPEN_ACCOUNT
+        if digest is not None:
+            named = self.admission.views.key_account(digest, now)
+            if named is None:
+                return _web.error_response(
+                    errors.Failure(
+                        errors.ErrorKind.UNAUTHORIZED,
+                        'the key is not in force',
+                    ),
+                )
+            account = named
+        reply = await self.exchange.resolve(
+            account, request_id, '', OUTCOME_WAIT_S
+        )
+        return self.plain_response(reply)
+
+    def unconfirmed(self, request_id: str) -> web.Response:
+        """Answer while this VM cannot confirm its configuration."""
+        return self.plain_response(
+            _exchange.refused(
+                request_id,
+                errors.Failure(
+                    errors.ErrorKind.NO_FRESH_CONFIG,
+                    'this VM cannot confirm its configuration',
+                    1.0,
+                ),
+                self.unsure(request_id),
+            )
+        )
+
+    def unsure(self, request_id: str) -> errors.Ran | None:
+        """Return 'unknown' for an id whose first copy may have run.
+
+        Before a key is checked, the account of an id is not known, so an
+        own id counts as new only if no account has it.
+        """
+        parsed = delivery.parse_request_id(request_id)
+        if isinstance(parsed, result.Err):
+            return None
+        intents = self.exchange.intents
+        first = self.exchange.first_copy('', request_id, parsed.ok_value.grant)
+        known = any(name == request_id for _, name in intents.owned.rows)
+        return None if first and not known else errors.Ran.UNKNOWN
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Serve one request of a caller."""
+        started = self.ticks.now()
+        raw = raw_request(request)
+        request_id = request.headers.get(REQUEST_ID_HEADER, '')
+        if not self.freshness.fresh(started):
+            return self.unconfirmed(request_id)
+        admitted = self.admission.admit(raw, started)
+        if isinstance(admitted, result.Err):
+            failure = admitted.err_value
+            self.count('', '', failure.kind)
+            return self.plain_response(
+                _exchange.refused(request_id, failure, self.unsure(request_id))
+            )
+        activity = Activity(admitted.ok_value)
+        self.active[id(activity)] = activity
+        try:
+            return await self.answer(request, activity, request_id, started)
+        finally:
+            del self.active[id(activity)]
+
+    async def answer(
+        self,
+        request: web.Request,
+        activity: Activity,
+        request_id: str,
+        started: float,
+    ) -> web.StreamResponse:
+        """Read the body, run the request and pass its answer on."""
+        admitted = activity.admitted
+        service = admitted.service
+        reply: _exchange.Reply | None = None
+        try:
+            reply = await self.run(request, activity, request_id)
+            return await self.respond(request, activity, reply)
+        finally:
+            kind = errors.ErrorKind.INTERNAL
+            if reply is not None and reply.failure is not None:
+                kind = reply.failure.kind
+                self.recorder.refused(
+                    reply.request_id, service.name, admitted.account, kind
+                )
+            seconds = self.ticks.now() - started
+            in_time = seconds * 1000 <= service.objective.in_time_ms
+            failed = reply is None or reply.failure is not None
+            self.count(
+                service.name, admitted.account, kind if failed else None
+            )
+            self.burn_table.count(
+                burn.RowKey(service.name, admitted.account, self.region),
+                kind if failed else None,
+                in_time,
+                started + seconds,
+            )
+            self.counters.latency.labels(service.name).observe(seconds)
+
+    async def run(
+        self, request: web.Request, activity: Activity, request_id: str
+    ) -> _exchange.Reply:
+        """Return the reply to a request."""
+        admitted = activity.admitted
+        if self.moved:
+            return _exchange.refused(
+                request_id,
+                errors.Failure(
+                    errors.ErrorKind.MOVED, 'this VM is about to stop', 1.0
+                ),
+                self.unsure(request_id) if admitted.tracked else None,
+            )
+        body = await self.read_body(request, admitted)
+        if isinstance(body, result.Err):
+            ran = self.unsure(request_id) if admitted.tracked else None
+            return _exchange.refused(request_id, body.err_value, ran)
+        activity.request_id = request_id
+        return await self.exchange.run(
+            admitted, body.ok_value, request_id or None
+        )
+
+    async def read_body(
+        self, request: web.Request, admitted: _admission.Admitted
+    ) -> result.Result[bytes, errors.Failure]:
+        """Read a body of at most the service's limit before the deadline."""
+        limit = admitted.service.max_body_bytes
+        too_large = errors.Failure(
+            errors.ErrorKind.BODY_TOO_LARGE,
+            f'the service takes bodies of at most {limit} bytes',
+        )
+        if (request.content_length or 0) > limit:
+            return result.Err(too_large)
+        left = admitted.deadline - self.ticks.now()
+        body = bytearray()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                async for piece in request.content.iter_any():
+                    body += piece
+                    if len(body) > limit:
+                        return result.Err(too_large)
+        except TimeoutError:
+            return result.Err(
+                errors.Failure(
+                    errors.ErrorKind.BAD_REQUEST,
+                    'the body did not arrive before the deadline',
+                )
+            )
+        return result.Ok(bytes(body))
+
+    async def respond(
+        self,
+        request: web.Request,
+        activity: Activity,
+        reply: _exchange.Reply,
+    ) -> web.StreamResponse:
+        """Pass a reply on to the caller."""
+        if reply.stream is None:
+            return self.plain_response(reply)
+        activity.stream_task = asyncio.current_task()
+        response = web.StreamResponse(status=reply.status)
+        self.set_headers(response, reply)
+        size = 0
+        complete = False
+        try:
+            await response.prepare(request)
+            async for piece in reply.stream:
+                size += len(piece)
+                await response.write(piece)
+            await response.write_eof()
+            complete = True
+        except delivery.BrokenAnswerError:
+            # Closing without the last chunk shows the caller that it is cut.
+            if request.transport is not None:
+                request.transport.abort()
+        finally:
+            if reply.ended is not None:
+                reply.ended(size, complete)
+        return response
+
+    def plain_response(self, reply: _exchange.Reply) -> web.Response:
+        """Return the HTTP answer for a reply whose body is whole."""
+        if reply.failure is not None:
+            fields = {REQUEST_ID_HEADER: reply.request_id}
+            if reply.wants_grant:
+                fields[GRANT_HEADER] = self.lookups.own_grant()
+            if self.moved:
+                fields['Connection'] = 'close'
+            return _web.error_response(reply.failure, fields, reply.ran)
+        response = web.Response(status=reply.status, body=reply.body)
+        self.set_headers(response, reply)
+        return response
+
+    def set_headers(
+        self, response: web.StreamResponse, reply: _exchange.Reply
+    ) -> None:
+        """Set an answer's headers."""
+        for name, value in reply.headers:
+            if name.lower() == 'content-type':
+                response.headers['Content-Type'] = value
+            else:
+                response.headers.add(name, value)
+        response.headers[REQUEST_ID_HEADER] = reply.request_id
+        response.headers[_web.RAN_HEADER] = reply.ran.value
+        if self.moved:
+            response.headers['Connection'] = 'close'
+
+    def count(
+        self, service: str, account: str, kind: errors.ErrorKind | None
+    ) -> None:
+        """Count an answer."""
+        outcome = 'ok' if kind is None else kind.value
+        self.counters.requests.labels(service, account, outcome).inc()
+
+    def tick(self, now: float) -> None:
+        """End running answers whose key was withdrawn some seconds ago."""
+        views = self.admission.views
+        if views.index() != self.checked_index:
+            self.checked_index = views.index()
+            for activity in self.active.values():
+                if activity.withdrawn_at is None and not (
+                    self.admission.still_allowed(activity.admitted, now)
+                ):
+                    activity.withdrawn_at = now
+        for activity in list(self.active.values()):
+            since = activity.withdrawn_at
+            if since is not None and now - since >= WITHDRAWN_GRACE_S:
+                self.cut(activity)
+
+    def cut(self, activity: Activity) -> None:
+        """End one answer whose key was withdrawn."""
+        self.counters.events.labels('withdrawn_answer_cut').inc()
+        if activity.stream_task is not None:
+            activity.stream_task.cancel()
+        else:
+            self.forwarder.cancel(activity.request_id)
+
+
+def raw_request(request: web.Request) -> _admission.RawRequest:
+    """Return a request's parts as they came."""
+    path, _, query = request.raw_path.partition('?')
+    return _admission.RawRequest(
+        request.method, path, query, tuple(request.headers.items())
+    )
+
+
+def handler_arguments() -> collections.abc.Mapping[str, int]:
+    """Return the limits of the callers' listener on a request's head."""
+    return {
+        'max_line_size': MAX_LINE_BYTES,
+        'max_field_size': MAX_FIELD_BYTES,
+    }
+
+
+SHUTDOWN_POLL_S: typing.Final = 0.05
+
+
+async def until_idle(callers: Callers, timeout_s: float) -> bool:
+    """Wait until no request is active; return whether that came in time."""
+    deadline = callers.ticks.now() + timeout_s
+    while callers.active or callers.exchange.background:
+        if callers.ticks.now() >= deadline:
+            return False
+        await asyncio.sleep(SHUTDOWN_POLL_S)
+    return True
--- /dev/null
+++ b/filbertstep/_operators.py
@@ -0,0 +1,208 @@
+"""The operators' listener: tickets, configuration, status, burn, metrics."""
+
+import asyncio
+import collections.abc
+import typing
+
+from aiohttp import web
+import msgspec
+import result
+
+from filbertstep import _web
+from filbertstep import agreement
+from filbertstep import burn
+from filbertstep import clock
+from filbertstep import codec
+from filbertstep import config
+from filbertstep import errors
+from filbertstep import metrics
+from filbertstep import systems
+from filbertstep import transport
+
+# A ticket may carry sections of one megabyte each.
+MAX_TICKET_BYTES: typing.Final = 8 * 1024 * 1024
+
+BURN_PATH: typing.Final = '/peer/burn'
+PEER_TIMEOUT_S: typing.Final = 2.0
+
+
+class BurnAnswer(typing.TypedDict):
+    """A VM's rows for the report, and the minutes it has been counting."""
+
+    minutes: list[burn.MinuteDoc]
+    covered_min: float
+
+
+class Operators:
+    """Answers operators' requests; any VM can answer any of them."""
+
+    def __init__(
+        self,
+        vm: str,
+        agree: agreement.Agreement,
+        views: config.ViewTable,
+        burn_table: burn.BurnTable,
+        peers: transport.Peers,
+        ticks: clock.Clock,
+        counters: metrics.Metrics,
+        status: collections.abc.Callable[[], dict[str, typing.Any]],
+    ) -> None:
+        self.vm = vm
+        self.agree = agree
+        self.views = views
+        self.burn_table = burn_table
+        self.peers = peers
+        self.ticks = ticks
+        self.counters = counters
+        self.status = status
+
+    def application(
+        self, tokens: collections.abc.Sequence[str]
+    ) -> web.Application:
+        """Return the application of the operators' listener."""
+        app = web.Application(
+            client_max_size=MAX_TICKET_BYTES,
+            middlewares=[_web.closed_errors, _web.require_bearer(tokens)],
+        )
+        app.router.add_get('/v1/status', self.get_status)
+        app.router.add_get('/v1/tickets', self.list_tickets)
+        app.router.add_post('/v1/tickets', self.submit_ticket)
+        app.router.add_get('/v1/tickets/{number}', self.get_ticket)
+        app.router.add_get('/v1/config', self.get_config)
+        app.router.add_get('/v1/config/{kind}', self.get_config)
+        app.router.add_get('/v1/config/{kind}/{name}', self.get_config)
+        app.router.add_get('/v1/burn', self.get_burn)
+        app.router.add_get('/metrics', self.get_metrics)
+        return app
+
+    def handlers(self) -> dict[str, systems.Handler]:
+        """Return the peers' paths that the report needs."""
+        return {BURN_PATH: self.answer_burn}
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """Answer with the state that this VM sees."""
+        return _web.json_response(self.status())
+
+    async def list_tickets(self, request: web.Request) -> web.Response:
+        """Answer with the newest tickets and the newest number."""
+        newest = self.views.newest
+        return _web.json_response(
+            {
+                'newest': 0 if newest is None else newest.head['ticket'],
+                'tickets': self.agree.tickets(),
+            }
+        )
+
+    async def submit_ticket(self, request: web.Request) -> web.Response:
+        """Commit a ticket; answer when the store has it."""
+        try:
+            raw = msgspec.json.decode(await request.read())
+        except msgspec.DecodeError as error:
+            return _web.error_response(
+                errors.Failure(
+                    errors.ErrorKind.INVALID_TICKET, f'not JSON: {error}'
+                )
+            )
+        submitted = await self.agree.submit(raw)
+        if isinstance(submitted, result.Err):
+            return _web.error_response(submitted.err_value)
+        return _web.json_response(submitted.ok_value)
+
+    async def get_ticket(self, request: web.Request) -> web.Response:
+        """Answer with the state of one ticket."""
+        text = request.match_info['number']
+        if not text.isdecimal() or len(text) > 12:
+            return _web.error_response(
+                errors.Failure(
+                    errors.ErrorKind.BAD_REQUEST,
+                    'a ticket number is a positive integer',
+                )
+            )
+        status = self.agree.ticket_status(int(text))
+        if isinstance(status, result.Err):
+            return _web.error_response(status.err_value)
+        return _web.json_response(status.ok_value)
+
+    async def get_config(self, request: web.Request) -> web.Response:
+        """Answer with the documents of all, one kind, or one entity."""
+        newest = self.views.newest
+        documents = (
+            config.empty_documents() if newest is None else newest.documents
+        )
+        kind, name = (
+            request.match_info.get('kind'),
+            request.match_info.get('name'),
+        )
+        if kind is None:
+            return _web.json_response(
+                {key.value: rows for key, rows in documents.items()}
+            )
+        if kind not in set(config.Kind):
+            return not_found(f'there is no kind {kind!r}')
+        rows = documents[config.Kind(kind)]
+        if name is None:
+            return _web.json_response(rows)
+        if name not in rows:
+            return not_found(f'there is no {kind} {name!r}')
+        return _web.json_response(
+            {'kind': kind, 'name': name, 'state': rows[name]}
+        )
+
+    async def get_metrics(self, request: web.Request) -> web.Response:
+        """Answer with the metrics in the Prometheus text format."""
+        return web.Response(
+            body=self.counters.render(),
+            headers={'Content-Type': 'text/plain; version=0.0.4'},
+        )
+
+    async def answer_burn(
+        self, message: transport.Message
+    ) -> result.Result[transport.Message, errors.Failure]:
+        """Answer a peer that makes a report."""
+        return result.Ok(typing.cast(transport.Message, self.own_burn()))
+
+    def own_burn(self) -> BurnAnswer:
+        """Return this VM's rows."""
+        now = self.ticks.now()
+        return {
+            'minutes': self.burn_table.export(now),
+            'covered_min': (now - self.burn_table.started) / 60,
+        }
+
+    async def get_burn(self, request: web.Request) -> web.Response:
+        """Ask every member for its rows and answer with the report."""
+        newest = self.views.newest
+        members = [] if newest is None else sorted(newest.epoch.members)
+        others = [vm for vm in members if vm != self.vm]
+        answers = await asyncio.gather(
+            *(
+                self.peers.call(vm, BURN_PATH, {}, PEER_TIMEOUT_S)
+                for vm in others
+            )
+        )
+        rows: dict[str, BurnAnswer] = {self.vm: self.own_burn()}
+        for vm, answer in zip(others, answers):
+            checked = answer.and_then(
+                lambda message: codec.convert(message, BurnAnswer).map_err(
+                    lambda text: errors.Failure(
+                        errors.ErrorKind.INTERNAL, text
+                    )
+                )
+            )
+            if isinstance(checked, result.Ok):
+                rows[vm] = checked.ok_value
+        made = burn.report(
+            burn.merge(row['minutes'] for row in rows.values()),
+            config.EMPTY if newest is None else newest.config,
+            sorted(rows),
+            [vm for vm in others if vm not in rows],
+            min(row['covered_min'] for row in rows.values()),
+        )
+        return _web.json_response(made)
+
+
+def not_found(message: str) -> web.Response:
+    """Return an answer for an entity that does not exist."""
+    return _web.error_response(
+        errors.Failure(errors.ErrorKind.NOT_FOUND, message)
+    )
--- /dev/null
+++ b/filbertstep/_peer_server.py
@@ -0,0 +1,68 @@
+"""The peers' listener: a JSON message in, a message or failure out."""
+
+import collections.abc
+
+from aiohttp import web
+import msgspec
+import result
+
+from filbertstep import _http_peers
+from filbertstep import _web
+from filbertstep import codec
+from filbertstep import errors
+from filbertstep import systems
+
+# A proposal carries whole sections, each of which is at most one megabyte.
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+
+
+class PeerServer:
+    """Passes peers' messages to the systems that answer them."""
+
+    def __init__(
+        self, handlers: collections.abc.Mapping[str, systems.Handler]
+    ) -> None:
+        self.handlers = handlers
+
+    def application(self, token: str) -> web.Application:
+        """Return the application of the peers' listener."""
+        app = web.Application(
+            client_max_size=MAX_MESSAGE_BYTES,
+            middlewares=[_web.closed_errors, _web.require_bearer([token])],
+        )
+        app.router.add_post('/peer/{name}', self.answer)
+        return app
+
+    async def answer(self, request: web.Request) -> web.Response:
+        """Answer one message."""
+        handler = self.handlers.get(request.path)
+        if handler is None:
+            return failure_response(
+                errors.Failure(errors.ErrorKind.NOT_FOUND, 'unknown message')
+            )
+        try:
+            message = msgspec.json.decode(await request.read())
+        except msgspec.DecodeError:
+            message = None
+        if not isinstance(message, dict):
+            return failure_response(
+                errors.Failure(
+                    errors.ErrorKind.BAD_REQUEST, 'a JSON object is required'
+                )
+            )
+        answer = await handler(message)
+        if isinstance(answer, result.Err):
+            return failure_response(answer.err_value)
+        return web.Response(
+            body=codec.encode(answer.ok_value),
+            content_type='application/json',
+        )
+
+
+def failure_response(failure: errors.Failure) -> web.Response:
+    """Return the answer to a peer for a failure."""
+    return web.Response(
+        status=errors.ANSWERS[failure.kind].status,
+        body=_http_peers.write_failure(failure),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/filbertstep/_recorder.py
@@ -0,0 +1,67 @@
+"""The history of a node, for the checkers: what it admitted and placed.
+
+Without a history file nothing is written.  Keys and bodies never are.
+"""
+
+import typing
+
+from filbertstep import checking
+from filbertstep import routing
+
+if typing.TYPE_CHECKING:
+    from filbertstep import _admission
+    from filbertstep import _tries
+
+
+class Recorder:
+    """Writes a node's events."""
+
+    def __init__(self, writer: checking.Writer) -> None:
+        self.writer = writer
+
+    def admitted(
+        self, request_id: str, admitted: '_admission.Admitted'
+    ) -> None:
+        """Record that an account may send a request and had a token."""
+        self.writer.write(
+            'admitted',
+            request_id=request_id,
+            service=admitted.service.name,
+            account=admitted.account,
+        )
+
+    def placed(
+        self, job: '_tries.Job', placement: routing.Placement
+    ) -> None:
+        """Record the region that a request was placed in."""
+        self.writer.write(
+            'placed',
+            request_id=job.request_id,
+            service=job.admitted.service.name,
+            account=job.admitted.account,
+            region=placement.region,
+            reference_region=placement.reference_region,
+            moved=placement.moved,
+        )
+
+    def refused(
+        self, request_id: str, service: str, account: str, kind: str
+    ) -> None:
+        """Record an error answer."""
+        self.writer.write(
+            'refused',
+            request_id=request_id,
+            service=service,
+            account=account,
+            kind=kind,
+        )
+
+    def config_applied(self, head_index: int, ticket: int) -> None:
+        """Record that a head came in force at this node."""
+        self.writer.write(
+            'config_applied', head_index=head_index, ticket=ticket
+        )
+
+    def state(self, state: str) -> None:
+        """Record a change of the node's state."""
+        self.writer.write('state', state=state)
--- /dev/null
+++ b/filbertstep/_tries.py
@@ -0,0 +1,448 @@
+"""The tries of one request at backend servers.
+
+A request that certainly did not run may be tried at another server.  One that
+may have run is tried again only when it is idempotent, once, and inside the
+service's retry budget.
+"""
+
+import collections.abc
+import enum
+import typing
+
+import result
+
+from filbertstep import _admission
+from filbertstep import _recorder
+from filbertstep import clock
+from filbertstep import delivery
+from filbertstep import errors
+from filbertstep import metrics
+from filbertstep import routing
+from filbertstep import systems
+
+# Servers that one request is sent to at most, those that shed it included.
+MAX_TRIES: typing.Final = 4
+
+# Denominator that turns a 52-bit hash into a number in [0, 1).
+HASH_RANGE: typing.Final = float(1 << 52)
+
+
+class Next(enum.Enum):
+    """What may follow a try."""
+
+    DONE = enum.auto()
+    OTHER_SERVER = enum.auto()
+    REPEAT_IDEMPOTENT = enum.auto()
+    STOP = enum.auto()
+
+
+class Rule(typing.NamedTuple):
+    """What a try's outcome means; ``kind`` when nothing follows."""
+
+    observed: routing.Outcome
+    run_may_continue: bool
+    following: Next
+    kind: errors.ErrorKind
+
+
+RULES: typing.Final[dict[delivery.OutcomeKind, Rule]] = {
+    delivery.OutcomeKind.ANSWERED: Rule(
+        routing.Outcome.ANSWERED,
+        False,
+        Next.DONE,
+        errors.ErrorKind.INTERNAL,
+    ),
+    delivery.OutcomeKind.NOT_SENT: Rule(
+        routing.Outcome.CONNECT_FAILED,
+        False,
+        Next.OTHER_SERVER,
+        errors.ErrorKind.NO_ROOM,
+    ),
+    delivery.OutcomeKind.SHED: Rule(
+        routing.Outcome.SHED,
+        False,
+        Next.OTHER_SERVER,
+        errors.ErrorKind.OVERLOADED,
+    ),
+    delivery.OutcomeKind.BROKEN: Rule(
+        routing.Outcome.BROKEN,
+        True,
+        Next.REPEAT_IDEMPOTENT,
+        errors.ErrorKind.BACKEND_FAILED,
+    ),
+    delivery.OutcomeKind.MISMATCHED: Rule(
+        routing.Outcome.BROKEN,
+        True,
+        Next.REPEAT_IDEMPOTENT,
+        errors.ErrorKind.BACKEND_FAILED,
+    ),
+    delivery.OutcomeKind.TIMED_OUT: Rule(
+        routing.Outcome.TIMED_OUT,
+        True,
+        Next.STOP,
+        errors.ErrorKind.DEADLINE_EXCEEDED,
+    ),
+    delivery.OutcomeKind.CANCELLED: Rule(
+        routing.Outcome.CANCELLED,
+        True,
+        Next.STOP,
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+    ),
+}
+
+
+class Job(typing.NamedTuple):
+    """A request to try; ``digest`` identifies it under its request id."""
+
+    admitted: _admission.Admitted
+    body: bytes
+    request_id: str
+    digest: str
+
+
+class Ended(typing.NamedTuple):
+    """How the tries of a request ended: a failure, or an answer."""
+
+    failure: errors.Failure | None = None
+    ran: errors.Ran | None = None
+    stored: delivery.StoredAnswer | None = None
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    stream: collections.abc.AsyncIterable[bytes] | None = None
+    stream_ended: collections.abc.Callable[[int, bool], None] | None = None
+
+
+class Progress:
+    """What is known about one request while it is tried."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.begun = False
+        self.tried: set[str] = set()
+        self.repeated = False
+        self.sending = False
+
+
+class Tries:
+    """Assigns, records and sends requests."""
+
+    def __init__(
+        self,
+        admission: _admission.Admission,
+        dispatcher: routing.Dispatcher,
+        intents: delivery.IntentSystem,
+        forwarder: delivery.Forwarder,
+        quarantine: routing.QuarantineSystem,
+        freshness: systems.Freshness,
+        ticks: clock.Clock,
+        counters: metrics.Metrics,
+        recorder: _recorder.Recorder,
+    ) -> None:
+        self.admission = admission
+        self.dispatcher = dispatcher
+        self.intents = intents
+        self.forwarder = forwarder
+        self.quarantine = quarantine
+        self.freshness = freshness
+        self.ticks = ticks
+        self.counters = counters
+        self.recorder = recorder
+        self.retries = routing.RetryBudget()
+
+    async def run(self, job: Job) -> Ended:
+        """Try a request until it ends; the account's rate was checked."""
+        progress = Progress(job)
+        self.retries.note_request(job.admitted.service.name)
+        while True:
+            ended = await self.try_once(progress)
+            if ended is not None:
+                return ended
+
+    async def try_once(self, progress: Progress) -> Ended | None:
+        """Do one try; None when another one may follow."""
+        job = progress.job
+        assigned = await self.dispatcher.assign(self.dispatch_request(progress))
+        if isinstance(assigned, result.Err):
+            return await self.not_run(progress, assigned.err_value)
+        assignment = assigned.ok_value
+        self.recorder.placed(job, assignment.placement)
+        outcome: delivery.Outcome | None = None
+        progress.sending = False
+        started = self.ticks.now()
+        try:
+            ended = await self.begin(progress)
+            if ended is not None:
+                return ended
+            progress.sending = True
+            started = self.ticks.now()
+            outcome = await self.send(progress, assignment)
+        finally:
+            if outcome is None or outcome.stream is None:
+                self.finish(assignment, outcome, started, progress.sending)
+        return await self.settle(progress, assignment, outcome, started)
+
+    def dispatch_request(self, progress: Progress) -> routing.DispatchRequest:
+        """Return what the dispatcher needs to know about a request."""
+        job = progress.job
+        admitted = job.admitted
+        mark = routing.fingerprint(
+            admitted.account, job.request_id, '', b''
+        )
+        return routing.DispatchRequest(
+            service=admitted.service,
+            client_account=admitted.account,
+            weight=admitted.weight,
+            point=(int(mark, 16) & ((1 << 52) - 1)) / HASH_RANGE,
+            deadline=admitted.deadline,
+            request_bytes=len(job.body),
+            exclude=frozenset(progress.tried),
+            key_digest=admitted.credentials.digest,
+        )
+
+    async def begin(self, progress: Progress) -> Ended | None:
+        """Have a tracked request recorded before its first send."""
+        job = progress.job
+        if not job.admitted.tracked or progress.begun:
+            return None
+        begun = await self.intents.begin(
+            job.admitted.account,
+            job.request_id,
+            job.digest,
+            max(0.0, job.admitted.deadline - self.ticks.now()),
+        )
+        if isinstance(begun, result.Err):
+            return Ended(failure=begun.err_value)
+        if not begun.ok_value.run:
+            return Ended(stored=begun.ok_value.answer)
+        progress.begun = True
+        return None
+
+    async def send(
+        self, progress: Progress, assignment: routing.Assignment
+    ) -> delivery.Outcome:
+        """Send a request to the assigned server."""
+        job = progress.job
+        admitted = job.admitted
+        scrubbed = delivery.scrub(
+            admitted.credentials,
+            admitted.raw.path,
+            admitted.raw.query,
+            admitted.raw.headers,
+            job.body,
+        )
+        if isinstance(scrubbed, result.Err):
+            return delivery.Outcome(
+                delivery.OutcomeKind.NOT_SENT,
+                False,
+                failure=scrubbed.err_value,
+            )
+        end = min(admitted.deadline, assignment.hold.run_until)
+        attempt = delivery.Attempt(
+            server=assignment.server.address,
+            method=admitted.raw.method,
+            path=admitted.raw.path,
+            query=admitted.raw.query,
+            headers=scrubbed.ok_value.headers,
+            body=job.body,
+            request_id=job.request_id,
+            time_left_s=end - self.ticks.now(),
+        )
+        running = self.counters.running.labels(admitted.service.name)
+        running.inc()
+        try:
+            return await self.forwarder.send(
+                attempt, lambda: self.may_send(job, end)
+            )
+        finally:
+            running.dec()
+
+    def may_send(self, job: Job, end: float) -> errors.Failure | None:
+        """Check once more, with the connection ready, what may have changed.
+
+        The VM may have been frozen since the request was admitted.
+        """
+        now = self.ticks.now()
+        if not self.freshness.fresh(now):
+            return errors.Failure(
+                errors.ErrorKind.NO_FRESH_CONFIG,
+                'this VM cannot confirm its configuration',
+                1.0,
+            )
+        if not self.admission.still_allowed(job.admitted, now):
+            return errors.Failure(
+                errors.ErrorKind.UNAUTHORIZED, 'the key was withdrawn'
+            )
+        if now >= end:
+            return errors.Failure(
+                errors.ErrorKind.OVERLOADED,
+                'the deadline passed before the request was sent',
+                1.0,
+            )
+        return None
+
+    def finish(
+        self,
+        assignment: routing.Assignment,
+        outcome: delivery.Outcome | None,
+        started: float,
+        sending: bool,
+    ) -> None:
+        """Release the slot; without an outcome nothing was answered."""
+        now = self.ticks.now()
+        if outcome is None:
+            # Cancelled while sending: bytes may have gone out.
+            observed = (
+                routing.Outcome.CANCELLED
+                if sending
+                else routing.Outcome.NOT_SENT
+            )
+            seen = routing.Observation(observed, 0.0, 0, sending)
+        else:
+            rule = RULES[outcome.kind]
+            observed = rule.observed
+            if outcome.failure is not None:
+                observed = routing.Outcome.NOT_SENT
+            seen = routing.Observation(
+                observed,
+                now - started,
+                len(outcome.body),
+                rule.run_may_continue,
+                header(outcome.headers, 'x-draining') == 'true',
+            )
+        self.dispatcher.finish(assignment, seen, now)
+
+    async def settle(
+        self,
+        progress: Progress,
+        assignment: routing.Assignment,
+        outcome: delivery.Outcome,
+        started: float,
+    ) -> Ended | None:
+        """Decide what follows a try."""
+        rule = RULES[outcome.kind]
+        if rule.following is Next.DONE:
+            return await self.answered(progress, assignment, outcome, started)
+        if outcome.failure is not None:
+            return await self.not_run(progress, outcome.failure)
+        progress.tried.add(assignment.server.name)
+        if outcome.kind is delivery.OutcomeKind.BROKEN:
+            self.strike(progress.job)
+        if self.may_follow(progress, rule.following):
+            self.counters.events.labels(f'retry_{outcome.kind.name}').inc()
+            return None
+        if rule.following is Next.OTHER_SERVER:
+            return await self.not_run(
+                progress,
+                errors.Failure(rule.kind, 'no backend server took it', 0.5),
+            )
+        return await self.unknown(progress, rule.kind)
+
+    def may_follow(self, progress: Progress, following: Next) -> bool:
+        """Tell whether another try may follow."""
+        if len(progress.tried) >= MAX_TRIES:
+            return False
+        admitted = progress.job.admitted
+        if following is Next.OTHER_SERVER:
+            return True
+        if following is not Next.REPEAT_IDEMPOTENT or admitted.tracked:
+            return False
+        if progress.repeated or self.quarantined(progress.job):
+            return False
+        progress.repeated = self.retries.try_retry(admitted.service.name)
+        return progress.repeated
+
+    def fingerprint(self, job: Job) -> str:
+        """Return the fingerprint that strikes are counted by."""
+        raw = job.admitted.raw
+        target = f'{raw.path}?{raw.query}' if raw.query else raw.path
+        return routing.fingerprint(
+            job.admitted.account, raw.method, target, job.body
+        )
+
+    def quarantined(self, job: Job) -> bool:
+        """Tell whether the request is quarantined by now."""
+        return (
+            self.quarantine.quarantined(
+                job.admitted.account, self.fingerprint(job), self.ticks.now()
+            )
+            is not None
+        )
+
+    def strike(self, job: Job) -> None:
+        """Count a connection that broke while the request ran."""
+        self.quarantine.strike(
+            job.admitted.account, self.fingerprint(job), self.ticks.now()
+        )
+
+    async def not_run(
+        self, progress: Progress, failure: errors.Failure
+    ) -> Ended:
+        """End a request that was not run and never will be."""
+        job = progress.job
+        if progress.begun:
+            await self.intents.withdraw(job.admitted.account, job.request_id)
+        return Ended(failure=failure)
+
+    async def unknown(
+        self, progress: Progress, kind: errors.ErrorKind
+    ) -> Ended:
+        """End a request that may have run."""
+        job = progress.job
+        if progress.begun:
+            await self.intents.abandon(job.admitted.account, job.request_id)
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        return Ended(
+            failure=errors.Failure(kind, 'the backend server gave no answer'),
+            ran=errors.Ran.UNKNOWN,
+        )
+
+    async def answered(
+        self,
+        progress: Progress,
+        assignment: routing.Assignment,
+        outcome: delivery.Outcome,
+        started: float,
+    ) -> Ended:
+        """End a request that has its answer, or the start of it."""
+        job = progress.job
+        headers = delivery.answer_headers(outcome.headers)
+        if progress.begun:
+            await self.intents.finish(
+                job.admitted.account,
+                job.request_id,
+                delivery.StoredAnswer(
+                    outcome.status,
+                    headers,
+                    outcome.body,
+                    outcome.stream is not None,
+                ),
+            )
+
+        def stream_ended(size: int, complete: bool) -> None:
+            now = self.ticks.now()
+            observed = (
+                routing.Outcome.ANSWERED if complete
+                else routing.Outcome.CANCELLED
+            )  # fmt: skip
+            seen = routing.Observation(
+                observed, now - started, size, not complete
+            )
+            self.dispatcher.finish(assignment, seen, now)
+
+        streams = outcome.stream is not None
+        return Ended(
+            status=outcome.status,
+            headers=headers,
+            body=outcome.body,
+            stream=outcome.stream,
+            stream_ended=stream_ended if streams else None,
+        )
+
+
+def header(headers: tuple[tuple[str, str], ...], name: str) -> str:
+    """Return the lower-case value of a header, '' without it."""
+    for found, value in headers:
+        if found.lower() == name:
+            return value.lower()
+    return ''
--- /dev/null
+++ b/filbertstep/_web.py
@@ -0,0 +1,154 @@
+"""Pieces that the three listeners of a node share."""
+
+import asyncio
+import collections.abc
+import hmac
+import ssl
+import traceback
+import typing
+
+from aiohttp import typedefs
+from aiohttp import web
+import logbook
+
+from filbertstep import codec
+from filbertstep import errors
+from filbertstep import settings
+
+LOG = logbook.Logger('web')
+
+WebHandler = collections.abc.Callable[
+    [web.Request], collections.abc.Awaitable[web.StreamResponse]
+]
+
+ERROR_KIND_HEADER: typing.Final = 'X-Error-Kind'
+RAN_HEADER: typing.Final = 'X-Ran'
+
+
+def error_response(
+    failure: errors.Failure,
+    headers: dict[str, str] | None = None,
+    ran: errors.Ran | None = None,
+) -> web.Response:
+    """Return the HTTP answer for a failure; ``ran`` overrides its kind's."""
+    answer = errors.ANSWERS[failure.kind]
+    said = answer.ran if ran is None else ran
+    fields = {
+        ERROR_KIND_HEADER: failure.kind.value,
+        RAN_HEADER: said.value,
+        **(headers or {}),
+    }
+    if failure.retry_after_s is not None:
+        # Whole seconds, rounded up: a caller must not come back too early.
+        fields['Retry-After'] = str(max(1, -int(-failure.retry_after_s // 1)))
+    return web.Response(
+        status=answer.status,
+        headers=fields,
+        body=codec.encode({**errors.error_body(failure), 'ran': said.value}),
+        content_type='application/json',
+    )
+
+
+def json_response(value: object) -> web.Response:
+    """Return a JSON answer with status 200."""
+    return web.Response(
+        body=codec.encode(value), content_type='application/json'
+    )
+
+
+def require_bearer(
+    tokens: collections.abc.Sequence[str],
+) -> typedefs.Middleware:
+    """Return a middleware that refuses requests without a known token."""
+    known = [f'Bearer {token}'.encode() for token in tokens]
+
+    @web.middleware
+    async def check(
+        request: web.Request, handler: WebHandler
+    ) -> web.StreamResponse:
+        given = request.headers.get('Authorization', '').encode(
+            'utf-8', 'surrogateescape'
+        )
+        # Compares with every token so that the time tells nothing.
+        matches = [hmac.compare_digest(given, token) for token in known]
+        if not any(matches):
+            return error_response(
+                errors.Failure(
+                    errors.ErrorKind.UNAUTHORIZED,
+                    'a valid bearer token is required',
+                )
+            )
+        return await handler(request)
+
+    return check
+
+
+@web.middleware
+async def closed_errors(
+    request: web.Request, handler: WebHandler
+) -> web.StreamResponse:
+    """Turn exceptions into answers of the closed list of kinds."""
+    try:
+        return await handler(request)
+    except web.HTTPRequestEntityTooLarge:
+        return error_response(
+            errors.Failure(
+                errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
+            )
+        )
+    except web.HTTPException as error:
+        kind = (
+            errors.ErrorKind.NOT_FOUND
+            if error.status == 404
+            else errors.ErrorKind.BAD_REQUEST
+        )
+        return error_response(errors.Failure(kind, error.reason))
+    except (ConnectionError, asyncio.IncompleteReadError):
+        raise
+    except Exception as error:
+        # The text of an unforeseen exception may hold parts of a request.
+        LOG.error(
+            'unhandled_exception type={} at={}',
+            type(error).__name__,
+            ' '.join(traceback.format_tb(error.__traceback__)),
+        )
+        return error_response(
+            errors.Failure(errors.ErrorKind.INTERNAL, 'internal error')
+        )
+
+
+def server_tls(listener: settings.Listener) -> ssl.SSLContext | None:
+    """Return the TLS context of a listener, or None for plain HTTP."""
+    if listener.certificate is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(listener.certificate, listener.private_key)
+    return context
+
+
+async def listen(
+    app: web.Application,
+    listener: settings.Listener,
+    stop_timeout_s: float,
+    limits: collections.abc.Mapping[str, int] | None = None,
+) -> web.AppRunner:
+    """Start serving an application on a listener."""
+    runner = web.AppRunner(
+        app,
+        **(limits or {}),
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=stop_timeout_s,
+    )
+    await runner.setup()
+    site = web.TCPSite(
+        runner,
+        listener.host,
+        listener.port,
+        ssl_context=server_tls(listener),
+        # A successor process may bind only when this one is gone, because a
+        # successor's promise stands for its predecessor's.
+        reuse_port=False,
+    )
+    await site.start()
+    return runner
