--- a/filbertstep/_head.py
+++ b/filbertstep/_head.py
@@ -58,8 +58,14 @@
 
 
 class HeadDoc(typing.TypedDict):
-    """Value of the head; ``sections`` maps a section name to its key."""
+    """Value of the head; ``sections`` maps a section name to its key.
 
+    ``rewrites`` counts rewrites that fenced an unfinished proposal.  Consul
+    keeps the modify index when the value written equals the stored one, so
+    a rewrite must differ in some byte.
+    """
+
+    rewrites: typing.NotRequired[int]
     ticket: int
     epoch: EpochDoc
     former_epochs: list[EpochDoc]
--- /dev/null
+++ b/filbertstep/_tickets.py
@@ -0,0 +1,325 @@
+"""Tickets: how operators change the configuration.
+
+A ticket carries whole new states of entities.  It is checked against the
+whole configuration that it would produce, so that no accepted configuration
+refers to something that does not exist.
+"""
+
+import collections.abc
+import hashlib
+import typing
+
+import msgspec
+import result
+
+from filbertstep import _config
+from filbertstep import _head
+from filbertstep import codec
+from filbertstep import errors
+
+# The store refuses values above one megabyte.
+MAX_SECTION_BYTES: typing.Final = 1_000_000
+
+MAX_CHANGES: typing.Final = 10_000
+
+
+class ChangeDoc(typing.TypedDict):
+    """Whole new state of one entity, or null to delete it."""
+
+    kind: _config.Kind
+    name: _config.Name
+    state: dict[str, typing.Any] | None
+
+
+class TicketDoc(typing.TypedDict):
+    """A ticket; ``number`` is the last accepted one plus one."""
+
+    number: typing.Annotated[int, msgspec.Meta(gt=0)]
+    author: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+    changes: typing.Annotated[
+        list[ChangeDoc], msgspec.Meta(min_length=1, max_length=MAX_CHANGES)
+    ]
+
+
+Ref = tuple[_config.Kind, str]
+"""An entity by kind and name."""
+
+
+class Problem(typing.NamedTuple):
+    """A fault of the new configuration.
+
+    ``field`` is the path below the entity's state.  ``cause`` is the entity
+    whose deletion or change brought the fault about, if another one.
+    """
+
+    entity: Ref
+    field: str
+    message: str
+    cause: Ref | None = None
+
+
+def invalid(path: str, message: str) -> result.Err[errors.Failure]:
+    """Return the failure of a ticket that names a field."""
+    return result.Err(
+        errors.Failure(errors.ErrorKind.INVALID_TICKET, f'{path}: {message}')
+    )
+
+
+def check(raw: object) -> result.Result[TicketDoc, errors.Failure]:
+    """Check a ticket by itself, without the configuration."""
+    converted = codec.convert(raw, TicketDoc)
+    if isinstance(converted, result.Err):
+        text = converted.err_value
+        return result.Err(
+            errors.Failure(
+                errors.ErrorKind.INVALID_TICKET, text.replace('$.', '')
+            )
+        )
+    ticket = converted.ok_value
+    seen: set[Ref] = set()
+    for position, change in enumerate(ticket['changes']):
+        path = f'changes[{position}]'
+        ref = (change['kind'], change['name'])
+        if ref in seen:
+            return invalid(f'{path}.name', 'changed twice in one ticket')
+        seen.add(ref)
+        if change['state'] is None:
+            continue
+        checked = _config.check_document(change['kind'], change['state'])
+        if isinstance(checked, result.Err):
+            text = checked.err_value.replace('$', f'{path}.state')
+            return result.Err(
+                errors.Failure(errors.ErrorKind.INVALID_TICKET, text)
+            )
+    return result.Ok(ticket)
+
+
+def digest(ticket: TicketDoc) -> str:
+    """Return the SHA-256 digest of a ticket's changes in hex."""
+    return hashlib.sha256(codec.encode(ticket['changes'])).hexdigest()
+
+
+def apply_ticket(
+    documents: _config.Documents, ticket: TicketDoc
+) -> result.Result[_config.Documents, errors.Failure]:
+    """Return the documents after a checked ticket; the old ones stay."""
+    changed = {kind: dict(entities) for kind, entities in documents.items()}
+    positions: dict[Ref, int] = {}
+    for position, change in enumerate(ticket['changes']):
+        kind, name = change['kind'], change['name']
+        positions[(kind, name)] = position
+        if change['state'] is not None:
+            changed[kind][name] = change['state']
+        elif changed[kind].pop(name, None) is None:
+            return invalid(
+                f'changes[{position}].name', f'no {kind.value} {name}'
+            )
+    for problem in problems(documents, changed):
+        return invalid(locate(problem, positions), problem.message)
+    return check_sizes(changed, positions)
+
+
+def locate(problem: Problem, positions: dict[Ref, int]) -> str:
+    """Return the field of the ticket that a problem comes from."""
+    if problem.entity in positions:
+        return f'changes[{positions[problem.entity]}].state.{problem.field}'
+    if problem.cause in positions:
+        return f'changes[{positions[problem.cause]}].state'
+    return 'changes'
+
+
+def check_sizes(
+    documents: _config.Documents, positions: dict[Ref, int]
+) -> result.Result[_config.Documents, errors.Failure]:
+    """Refuse a ticket that makes a section too large for the store."""
+    contents = _head.split(documents)
+    for (kind, name), position in positions.items():
+        section = _head.section_name(kind, name)
+        size = len(codec.encode(contents.get(section, {})))
+        if size >= MAX_SECTION_BYTES:
+            return invalid(
+                f'changes[{position}].state',
+                f'section {section} would have {size} bytes, the limit is '
+                f'{MAX_SECTION_BYTES}',
+            )
+    return result.Ok(documents)
+
+
+def changed_sections(
+    ticket: TicketDoc, documents: _config.Documents
+) -> dict[str, dict[str, typing.Any] | None]:
+    """Return new contents of the sections that a ticket touches.
+
+    None stands for a section without any entity.
+    """
+    contents = _head.split(documents)
+    names = {
+        _head.section_name(change['kind'], change['name'])
+        for change in ticket['changes']
+    }
+    return {name: contents.get(name) for name in sorted(names)}
+
+
+Problems = collections.abc.Iterator[Problem]
+
+
+def problems(old: _config.Documents, new: _config.Documents) -> Problems:
+    """Yield the faults of a new configuration."""
+    yield from missing_references(new)
+    yield from zone_problems(new)
+    yield from duplicates(new, _config.Kind.SERVICE, 'path_prefix')
+    yield from duplicates(new, _config.Kind.KEY, 'digest')
+    yield from moved_servers(old, new)
+    yield from same_region_links(new)
+
+
+def service_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return the regions of a service's split."""
+    return [
+        (f'regions.{region}', (_config.Kind.REGION, region))
+        for region in doc['regions']
+    ]
+
+
+def region_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return the regions that a region lists as near."""
+    return [
+        (f'near[{position}]', (_config.Kind.REGION, region))
+        for position, region in enumerate(doc.get('near', ()))
+    ]
+
+
+def server_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return service and region of a backend server."""
+    return [
+        ('service', (_config.Kind.SERVICE, doc['service'])),
+        ('region', (_config.Kind.REGION, doc['region'])),
+    ]
+
+
+def account_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return the services of a client account."""
+    return [
+        (f'services[{position}]', (_config.Kind.SERVICE, service))
+        for position, service in enumerate(doc['services'])
+    ]
+
+
+def key_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return the client account of a key."""
+    account = doc['client_account']
+    return [('client_account', (_config.Kind.CLIENT_ACCOUNT, account))]
+
+
+def cap_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return the service of a shift cap, which bears the service's name."""
+    return [('name', (_config.Kind.SERVICE, name))]
+
+
+def drain_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return the target of a drain; VMs are not in the configuration."""
+    if doc['target_kind'] == _config.DrainTarget.VM:
+        return []
+    return [('target', (_config.Kind(doc['target_kind']), doc['target']))]
+
+
+def link_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return both regions of a link."""
+    return [
+        (field, (_config.Kind.REGION, doc[field]))
+        for field in ('from_region', 'to_region')
+    ]
+
+
+def site_references(name: str, doc: typing.Any) -> list[tuple[str, Ref]]:
+    """Return the region of a site."""
+    return [('region', (_config.Kind.REGION, doc['region']))]
+
+
+REFERENCES: typing.Final = {
+    _config.Kind.SERVICE: service_references,
+    _config.Kind.REGION: region_references,
+    _config.Kind.BACKEND_SERVER: server_references,
+    _config.Kind.CLIENT_ACCOUNT: account_references,
+    _config.Kind.KEY: key_references,
+    _config.Kind.SHIFT_CAP: cap_references,
+    _config.Kind.DRAIN: drain_references,
+    _config.Kind.LINK: link_references,
+    _config.Kind.SITE: site_references,
+}
+
+
+def missing_references(documents: _config.Documents) -> Problems:
+    """Yield references to entities that do not exist."""
+    for kind, entities in documents.items():
+        for name, doc in entities.items():
+            for field, ref in REFERENCES[kind](name, doc):
+                if ref[1] not in documents[ref[0]]:
+                    yield Problem(
+                        (kind, name),
+                        field,
+                        f'{kind.value} {name} refers to {ref[0].value} '
+                        f'{ref[1]}, which does not exist',
+                        ref,
+                    )
+
+
+def zone_problems(documents: _config.Documents) -> Problems:
+    """Yield backend servers outside their region's availability zones."""
+    for name, doc in documents[_config.Kind.BACKEND_SERVER].items():
+        region = documents[_config.Kind.REGION].get(doc['region'])
+        zone = doc['availability_zone']
+        if region is not None and zone not in region['availability_zones']:
+            yield Problem(
+                (_config.Kind.BACKEND_SERVER, name),
+                'availability_zone',
+                f'backend_server {name} is in availability zone {zone}, '
+                f'which region {doc["region"]} does not have',
+                (_config.Kind.REGION, doc['region']),
+            )
+
+
+def duplicates(
+    documents: _config.Documents, kind: _config.Kind, field: str
+) -> Problems:
+    """Yield entities of a kind that share the value of a field."""
+    holders: dict[str, str] = {}
+    for name, doc in documents[kind].items():
+        other = holders.setdefault(doc[field], name)
+        if other != name:
+            yield Problem(
+                (kind, name),
+                field,
+                f'{kind.value} {other} has the same {field}',
+                (kind, other),
+            )
+
+
+def moved_servers(old: _config.Documents, new: _config.Documents) -> Problems:
+    """Yield backend servers whose region or address changed.
+
+    Slots are owned by name; under one name two machines could run work at
+    the same time.
+    """
+    kind = _config.Kind.BACKEND_SERVER
+    for name, doc in new[kind].items():
+        before = old[kind].get(name)
+        for field in ('region', 'address'):
+            if before is not None and before[field] != doc[field]:
+                yield Problem(
+                    (kind, name),
+                    field,
+                    f'{field} of backend_server {name} must not change; use '
+                    'a new name',
+                )
+
+
+def same_region_links(documents: _config.Documents) -> Problems:
+    """Yield links that end in the region where they begin."""
+    for name, doc in documents[_config.Kind.LINK].items():
+        if doc['from_region'] == doc['to_region']:
+            yield Problem(
+                (_config.Kind.LINK, name),
+                'to_region',
+                f'link {name} begins and ends in {doc["to_region"]}',
+            )
