--- a/filbertstep/_tickets.py
+++ b/filbertstep/_tickets.py
@@ -114,7 +114,10 @@
             return invalid(
                 f'changes[{position}].name', f'no {kind.value} {name}'
             )
-    for problem in problems(documents, changed):
+    found = list(problems(documents, changed))
+    if found:
+        # Of two sides of one fault, name the one that the ticket changes.
+        problem = min(found, key=lambda item: item.entity not in positions)
         return invalid(locate(problem, positions), problem.message)
     return check_sizes(changed, positions)
 
@@ -282,17 +285,17 @@
 def duplicates(
     documents: _config.Documents, kind: _config.Kind, field: str
 ) -> Problems:
-    """Yield entities of a kind that share the value of a field."""
+    """Yield both sides of each pair that shares the value of a field."""
     holders: dict[str, str] = {}
     for name, doc in documents[kind].items():
         other = holders.setdefault(doc[field], name)
         if other != name:
-            yield Problem(
-                (kind, name),
-                field,
-                f'{kind.value} {other} has the same {field}',
-                (kind, other),
-            )
+            for first, second in ((name, other), (other, name)):
+                yield Problem(
+                    (kind, first),
+                    field,
+                    f'{kind.value} {second} has the same {field}',
+                )
 
 
 def moved_servers(old: _config.Documents, new: _config.Documents) -> Problems:
