--- a/filbertstep/_commit.py
+++ b/filbertstep/_commit.py
@@ -51,16 +51,15 @@
     """A change that is in the store.
 
     ``head_index`` is 0 when this call did not write it or could not read the
-    index.  ``witnesses_exact`` tells that acknowledgement by the members and
-    ``guests`` suffices for the change to be known wherever it matters.
+    index.  ``audience`` are all processes that may act on the former head,
+    or None when this is not known.
     """
 
     head_index: int
-    guests: frozenset[tuple[str, str]]
-    witnesses_exact: bool
+    audience: frozenset[tuple[str, str]] | None
 
 
-IN_PLACE: typing.Final = Outcome(0, frozenset(), False)
+IN_PLACE: typing.Final = Outcome(0, None)
 
 Attempt = result.Result[Outcome, errors.Failure] | None
 """Outcome of one attempt, or None: read the head and try again."""
@@ -90,6 +89,9 @@
         self.book = learner.book
         self.reach = reach
         self.lock = asyncio.Lock()
+        # Base index of a swap that may have taken effect, until a head above
+        # it was read.
+        self.maybe_swapped: int | None = None
 
     async def commit(
         self, change: Change
@@ -101,24 +103,21 @@
         taken effect and the head could not be read since.
         """
         async with self.lock:
-            unknown = False
+            self.maybe_swapped = None
             failure = unavailable('the head changed too often')
             for _ in range(MAX_ATTEMPTS):
                 attempt = await self.attempt(change)
                 if attempt is None:
-                    unknown = False
                     continue
                 if isinstance(attempt, result.Ok):
                     return attempt
                 failure = attempt.err_value
-                if failure.kind is errors.ErrorKind.OUTCOME_UNKNOWN:
-                    unknown = True
-                elif not unknown:
+                if self.maybe_swapped is None:
                     return attempt
                 await asyncio.sleep(REREAD_PAUSE_S)
-            return result.Err(
-                undecided(failure.message) if unknown else failure
-            )
+            if self.maybe_swapped is not None:
+                failure = undecided(failure.message)
+            return result.Err(failure)
 
     async def attempt(self, change: Change) -> Attempt:
         """Make one attempt from a read of the head to the swap."""
@@ -128,16 +127,16 @@
             return result.Err(unavailable(read.err_value))
         if read.ok_value.modify_index < self.views.index():
             return result.Err(unavailable('the store lost the newest head'))
-        base = self.views.newest
+        index, base = self.views.index(), self.views.newest
+        if self.maybe_swapped is not None and index > self.maybe_swapped:
+            self.maybe_swapped = None
         planned = change(base)
         if isinstance(planned, result.Err):
             return planned
         plan = planned.ok_value
         if plan is None:
             return result.Ok(IN_PLACE)
-        proposal = config.Proposal(
-            self.views.index(), plan.head, plan.sections
-        )
+        proposal = config.Proposal(index, plan.head, plan.sections)
         settled = base is None or self.settled()
         if self.clock.now() - asked_at > STORE_RECENT_S:
             return None
@@ -280,19 +279,19 @@
         if isinstance(answer, result.Err):
             if answer.err_value is store.StoreError.NOT_SENT:
                 return result.Err(unavailable('the store refused'))
+            self.maybe_swapped = proposal.base_index
             return result.Err(undecided('no answer to the swap'))
         if not answer.ok_value:
+            # See ConsulStore: a repeated call may have been the second one.
+            self.maybe_swapped = proposal.base_index
             return None
         read = await self.learner.read_store()
         if isinstance(read, result.Err):
             return result.Ok(IN_PLACE)
-        return result.Ok(
-            Outcome(
-                read.ok_value.modify_index,
-                frozenset(votes.guests),
-                votes.exact and settled,
-            )
-        )
+        audience = None
+        if votes.exact and settled:
+            audience = frozenset(votes.audience())
+        return result.Ok(Outcome(read.ok_value.modify_index, audience))
 
     async def fence(self, proposal: config.Proposal) -> None:
         """Raise the head's index above an unfinished proposal's base."""
@@ -300,7 +299,8 @@
         newest = self.views.newest
         if isinstance(read, result.Err) or newest is None:
             return
-        if read.ok_value.modify_index != proposal.base_index:
+        indexes = {read.ok_value.modify_index, self.views.index()}
+        if indexes != {proposal.base_index}:
             return
         head = _promises.fenced(newest.head)
         await self.store.put_cas(
--- a/filbertstep/_promises.py
+++ b/filbertstep/_promises.py
@@ -221,6 +221,14 @@
             self.promised.add(vm)
             self.exact = False
 
+    def audience(self) -> set[tuple[str, str]]:
+        """Return the members and guests that may act on the base head."""
+        members = {
+            (member.vm, member.incarnation)
+            for member in self.epoch.members.values()
+        }
+        return members | self.guests
+
     def complete(self) -> bool:
         """Tell whether a majority promised; no witness is needed for none."""
         if not self.epoch.witnesses:
--- a/filbertstep/_tickets.py
+++ b/filbertstep/_tickets.py
@@ -91,6 +91,9 @@
             return result.Err(
                 errors.Failure(errors.ErrorKind.INVALID_TICKET, text)
             )
+        # Numbers as their shape has them, so that content and digest of a
+        # section do not depend on how a ticket wrote 5 or 5.0.
+        change['state'] = msgspec.to_builtins(checked.ok_value)
     return result.Ok(ticket)
 
 
--- /dev/null
+++ b/filbertstep/agreement.py
@@ -0,0 +1,19 @@
+"""Agreement: freshness, promises, commits, epochs and membership."""
+
+from filbertstep._agreement import Agreement as Agreement
+from filbertstep._commit import Committer as Committer
+from filbertstep._epochs import EpochEdit as EpochEdit
+from filbertstep._evidence import Evidence as Evidence
+from filbertstep._evidence import Identity as Identity
+from filbertstep._evidence import Statement as Statement
+from filbertstep._membership import Peer as Peer
+from filbertstep._membership import SUSPECT_AFTER_S as SUSPECT_AFTER_S
+from filbertstep._promises import PromiseBook as PromiseBook
+from filbertstep._promises import PromiseRound as PromiseRound
+from filbertstep._promises import SectionCache as SectionCache
+from filbertstep._ticket_book import TicketState as TicketState
+from filbertstep._ticket_book import TicketStatus as TicketStatus
+from filbertstep._vm_list import ConsulVmList as ConsulVmList
+from filbertstep._vm_list import FakeVmList as FakeVmList
+from filbertstep._vm_list import ListedVm as ListedVm
+from filbertstep._vm_list import VmList as VmList
