Add share and slot systems behind the sharing module

Shares keep a balance of units for each epoch in force; slots are owned by rendezvous hashing and lent to peers. Unit tests so far cover one VM with all traffic of an account only.

--- /dev/null
+++ b/filbertstep/sharing.py
@@ -0,0 +1,7 @@
+"""Units of rate and burst, and slots, that all VMs share."""
+
+from filbertstep._buckets import ACCOUNT_PREFIX as ACCOUNT_PREFIX
+from filbertstep._buckets import LINK_PREFIX as LINK_PREFIX
+from filbertstep._ownership import UNITS as UNITS
+from filbertstep._shares import ShareSystem as ShareSystem
+from filbertstep._slots import SlotSystem as SlotSystem
