--- /dev/null
+++ b/filbertstep/_assignments.py
@@ -0,0 +1,89 @@
+"""What goes into the dispatcher and comes out of it."""
+
+import enum
+import typing
+
+from filbertstep import _health
+from filbertstep import _splits
+from filbertstep import config
+from filbertstep import systems
+
+
+class DispatchRequest(typing.NamedTuple):
+    """A request that needs a slot.
+
+    ``point`` is in [0, 1), from the request's hash.  ``deadline`` is a time
+    of the VM's clock.  ``exclude`` names the servers that were tried before.
+    ``key_digest`` lets waiting requests be refused when a key is withdrawn.
+    """
+
+    service: config.Service
+    client_account: str | None
+    weight: float
+    point: float
+    deadline: float
+    request_bytes: int
+    exclude: frozenset[str] = frozenset()
+    key_digest: str | None = None
+
+
+class LinkReservation(typing.NamedTuple):
+    """Bytes taken from link shares; a resource is None where none is needed.
+
+    ``out`` carries the request, ``back`` the answer.
+    """
+
+    out: str | None
+    back: str | None
+    request_bytes: float
+    answer_bytes: float
+
+
+class Assignment(typing.NamedTuple):
+    """A slot for one request, with everything that ``finish`` gives back."""
+
+    number: int
+    server: config.BackendServer
+    hold: systems.SlotHold
+    placement: _splits.Placement
+    link: LinkReservation
+
+
+class Outcome(enum.StrEnum):
+    """How the one try at a backend server ended.
+
+    NOT_SENT: no byte was sent.  SHED: the server said ``X-Not-Run``.  BROKEN:
+    the connection ended, or the answer belonged to another request.
+    """
+
+    NOT_SENT = 'not_sent'
+    ANSWERED = 'answered'
+    SHED = 'shed'
+    CONNECT_FAILED = 'connect_failed'
+    BROKEN = 'broken'
+    TIMED_OUT = 'timed_out'
+    CANCELLED = 'cancelled'
+
+
+HEALTH_EVENTS: typing.Final[dict[Outcome, _health.Event]] = {
+    Outcome.ANSWERED: _health.Event.ANSWERED,
+    Outcome.SHED: _health.Event.SHED,
+    Outcome.CONNECT_FAILED: _health.Event.CONNECT_FAILED,
+    Outcome.BROKEN: _health.Event.BROKEN,
+    Outcome.TIMED_OUT: _health.Event.TIMED_OUT,
+}
+
+
+class Observation(typing.NamedTuple):
+    """What the try showed.
+
+    ``run_may_continue`` when the server may still work on the request, so
+    that its slot stays busy until the deadline.  ``draining`` when the answer
+    had an ``X-Draining`` header.
+    """
+
+    outcome: Outcome
+    latency_s: float
+    answer_bytes: int
+    run_may_continue: bool
+    draining: bool = False
--- /dev/null
+++ b/filbertstep/routing.py
@@ -0,0 +1,36 @@
+"""Routing: where a request goes, when it starts, and what is learned.
+
+The daemon calls ``Dispatcher.assign`` and ``finish``, ticks the systems and
+consults ``QuarantineSystem`` and ``RetryBudget`` around each try.
+"""
+
+from filbertstep._assignments import Assignment as Assignment
+from filbertstep._assignments import DispatchRequest as DispatchRequest
+from filbertstep._assignments import LinkReservation as LinkReservation
+from filbertstep._assignments import Observation as Observation
+from filbertstep._assignments import Outcome as Outcome
+from filbertstep._choice import Candidate as Candidate
+from filbertstep._choice import ChoicePolicy as ChoicePolicy
+from filbertstep._choice import LeastReportedLoad as LeastReportedLoad
+from filbertstep._choice import RandomChoice as RandomChoice
+from filbertstep._choice import RoundRobinChoice as RoundRobinChoice
+from filbertstep._choice import SlotAwareChoice as SlotAwareChoice
+from filbertstep._choice import TwoChoicesReported as TwoChoicesReported
+from filbertstep._dispatch import Dispatcher as Dispatcher
+from filbertstep._dispatch import Neighbours as Neighbours
+from filbertstep._fleet import Fleet as Fleet
+from filbertstep._health import Event as Event
+from filbertstep._health import HealthTable as HealthTable
+from filbertstep._health import State as State
+from filbertstep._probes import HealthSystem as HealthSystem
+from filbertstep._probes import HttpProber as HttpProber
+from filbertstep._probes import Probe as Probe
+from filbertstep._probes import Prober as Prober
+from filbertstep._quarantine import fingerprint as fingerprint
+from filbertstep._quarantine import QuarantineSystem as QuarantineSystem
+from filbertstep._queue import FairQueue as FairQueue
+from filbertstep._queue import Waiter as Waiter
+from filbertstep._retries import RetryBudget as RetryBudget
+from filbertstep._shift import ShiftSystem as ShiftSystem
+from filbertstep._splits import Placement as Placement
+from filbertstep._statistics import ServiceStatus as ServiceStatus
