--- /dev/null
+++ b/tests/routing_fakes.py
@@ -0,0 +1,210 @@
+"""Configurations and fakes of the neighbours of the routing systems."""
+
+import collections
+import typing
+
+from filbertstep import config
+from filbertstep import systems
+
+REGIONS = ('hobart', 'launceston', 'burnie')
+
+
+def region_doc(name: str) -> dict[str, typing.Any]:
+    """Return a region whose neighbours are in the order of ``REGIONS``."""
+    return {
+        'availability_zones': [f'{name}-a', f'{name}-b'],
+        'near': [other for other in REGIONS if other != name],
+    }
+
+
+def service_doc(
+    work: str = 'interactive',
+    regions: dict[str, float] | None = None,
+    queue_limit: int = 100,
+) -> dict[str, typing.Any]:
+    """Return a service with weight 1 in the first region."""
+    return {
+        'path_prefix': '/bookings',
+        'work': work,
+        'open': False,
+        'idempotent_methods': ['GET'],
+        'deadline_ms': 5000,
+        'max_body_bytes': 65536,
+        'queue_limit': queue_limit,
+        'regions': regions or {'hobart': 1.0},
+        'objective': {
+            'in_time_ms': 100,
+            'in_time_share': 0.99,
+            'served_share': 0.999,
+        },
+    }
+
+
+def server_doc(
+    service: str, region: str, slots: int = 2, warmup_s: float = 10.0
+) -> dict[str, typing.Any]:
+    """Return a backend server in the first availability zone."""
+    return {
+        'service': service,
+        'address': '127.0.0.1:9',
+        'region': region,
+        'availability_zone': f'{region}-a',
+        'slots': slots,
+        'connections': 400,
+        'warmup_s': warmup_s,
+    }
+
+
+def documents(
+    services: dict[str, dict[str, typing.Any]] | None = None,
+    servers: dict[str, dict[str, typing.Any]] | None = None,
+    caps: dict[str, dict[str, typing.Any]] | None = None,
+    drains: dict[str, dict[str, typing.Any]] | None = None,
+    links: dict[str, dict[str, typing.Any]] | None = None,
+) -> config.Documents:
+    """Return documents; without servers each region has two."""
+    found = config.empty_documents()
+    found[config.Kind.REGION] = {name: region_doc(name) for name in REGIONS}
+    found[config.Kind.SERVICE] = services or {'bookings': service_doc()}
+    found[config.Kind.BACKEND_SERVER] = (
+        servers
+        if servers is not None
+        else {
+            f'{region}-{number}': server_doc('bookings', region)
+            for region in REGIONS
+            for number in (1, 2)
+        }
+    )
+    found[config.Kind.SHIFT_CAP] = caps or {}
+    found[config.Kind.DRAIN] = drains or {}
+    found[config.Kind.LINK] = links or {}
+    return found
+
+
+def learn(
+    views: config.ViewTable,
+    docs: config.Documents,
+    head_index: int,
+    now: float,
+) -> None:
+    """Have a view table learn a configuration with one member."""
+    sections: config.Sections = {}
+    head = config.empty_head()
+    head['epoch'] = {
+        'number': 1,
+        'members': [
+            {
+                'vm': 'vm-1',
+                'incarnation': 'a',
+                'region': 'hobart',
+                'availability_zone': 'hobart-a',
+            }
+        ],
+        'witnesses': ['vm-1'],
+    }
+    for name, content in config.split(docs).items():
+        key = config.section_key(name, content)
+        head['sections'][name] = key
+        sections[key] = content
+    views.learn(config.make_view(head_index, head, sections), now)
+
+
+class FakeSlots(systems.Slots):
+    """Slots that this VM owns, by server; counts misuse as errors.
+
+    ``owned`` maps a server to its slot numbers, ``others`` a region to the
+    idle part of the slots of other VMs.
+    """
+
+    def __init__(self, servers: dict[str, config.BackendServer]) -> None:
+        self.servers = servers
+        self.owned = {
+            name: list(range(server.slots)) for name, server in servers.items()
+        }
+        self.busy: dict[str, dict[int, systems.SlotHold]] = (
+            collections.defaultdict(dict)
+        )
+        self.others: dict[str, float] = {}
+        self.wanted: dict[tuple[str, str], int] = {}
+        self.held_to_deadline: list[systems.SlotHold] = []
+
+    def idle(self, service: str, region: str, now: float) -> dict[str, int]:
+        """Return idle slots by server."""
+        return {
+            name: len(self.owned[name]) - len(self.busy[name])
+            for name, server in self.servers.items()
+            if server.service == service and server.region == region
+        }
+
+    def in_use(self, server: str) -> int:
+        """Return the busy slots of a server."""
+        return len(self.busy[server])
+
+    def acquire(
+        self, server: str, run_for_s: float, now: float
+    ) -> systems.SlotHold | None:
+        """Use the idle slot with the highest number, the least handy one."""
+        free = [n for n in self.owned[server] if n not in self.busy[server]]
+        if not free:
+            return None
+        row = self.servers[server]
+        hold = systems.SlotHold(
+            server, max(free), row.service, row.region, None, now + run_for_s
+        )
+        self.busy[server][hold.slot] = hold
+        return hold
+
+    def release(self, hold: systems.SlotHold, now: float) -> None:
+        """Free a slot; raises KeyError when it is not in use."""
+        del self.busy[hold.server][hold.slot]
+
+    def release_at_deadline(self, hold: systems.SlotHold) -> None:
+        """Keep the slot busy."""
+        self.held_to_deadline.append(hold)
+
+    def want(self, service: str, region: str, count: int, now: float) -> None:
+        """Keep the newest wish."""
+        self.wanted[service, region] = count
+
+    def room(self, service: str, now: float) -> dict[str, float]:
+        """Return what the other VMs have idle."""
+        return dict(self.others)
+
+    def total_in_use(self) -> int:
+        """Return all busy slots."""
+        return sum(map(len, self.busy.values()))
+
+
+class FakeShares(systems.Shares):
+    """Buckets without refill; a resource that is not listed has no limit."""
+
+    def __init__(self) -> None:
+        self.tokens: dict[str, float] = {}
+        self.asked: list[str] = []
+
+    def try_take(self, resource: str, amount: float, now: float) -> bool:
+        """Take if there is enough."""
+        if self.tokens.get(resource, amount) < amount:
+            return False
+        self.charge(resource, amount, now)
+        return True
+
+    async def take(
+        self, resource: str, amount: float, timeout_s: float
+    ) -> bool:
+        """Note the wish; no peer has any."""
+        self.asked.append(resource)
+        return False
+
+    def give_back(self, resource: str, amount: float, now: float) -> None:
+        """Return tokens."""
+        self.charge(resource, -amount, now)
+
+    def charge(self, resource: str, amount: float, now: float) -> None:
+        """Take without a check."""
+        if resource in self.tokens:
+            self.tokens[resource] -= amount
+
+    def retry_after(self, resource: str, now: float) -> float:
+        """Return a fixed time."""
+        return 0.05
--- /dev/null
+++ b/tests/test_routing_choice.py
@@ -0,0 +1,123 @@
+"""Tests of the policies that choose a backend server."""
+
+import collections
+import random
+import unittest
+
+from filbertstep import config
+from filbertstep import routing
+
+
+def candidate(
+    name: str,
+    *,
+    idle: int = 2,
+    in_use: int = 0,
+    load: float | None = None,
+    latency_s: float | None = None,
+    trouble: float = 0.0,
+    suspect: bool = False,
+    same_zone: bool = False,
+) -> routing.Candidate:
+    """Return a healthy idle candidate, changed as given."""
+    server = config.BackendServer(
+        name, 'bookings', '127.0.0.1:9', 'hobart', 'hobart-a', 4, 400, 1.0
+    )
+    return routing.Candidate(
+        server, idle, in_use, load, latency_s, trouble, suspect, same_zone
+    )
+
+
+def counts(
+    policy: routing.ChoicePolicy, candidates: list[routing.Candidate]
+) -> dict[str, int]:
+    """Return how often each server is chosen in 200 choices."""
+    rng = random.Random(7)
+    return collections.Counter(
+        policy.choose(candidates, rng).server.name for _ in range(200)
+    )
+
+
+class TestSlotAwareChoice(unittest.TestCase):
+    """The default policy weighs what this VM observes."""
+
+    CASES = (
+        ('busy', candidate('good'), candidate('bad', idle=1, in_use=1)),
+        ('no idle slot', candidate('good', suspect=True),
+         candidate('bad', idle=0)),
+        ('suspect', candidate('good', in_use=1, idle=1),
+         candidate('bad', suspect=True)),
+        ('sheds though it reports idle', candidate('good', load=0.8),
+         candidate('bad', load=0.0, trouble=0.5)),
+        ('slow though it reports idle', candidate('good', latency_s=0.02),
+         candidate('bad', load=0.0, latency_s=0.2)),
+        ('reports overload', candidate('good'), candidate('bad', load=1.2)),
+        ('other zone', candidate('good', same_zone=True), candidate('bad')),
+    )  # fmt: skip
+
+    def test_better_server_is_chosen(self) -> None:
+        """Guards against a report that outweighs what requests met."""
+        for name, good, bad in self.CASES:
+            with self.subTest(name):
+                chosen = counts(routing.SlotAwareChoice(), [bad, good])
+                self.assertEqual({'good': 200}, dict(chosen))
+
+    def test_report_alone_attracts_nothing(self) -> None:
+        """Guards against the herd that follows the least reported load."""
+        chosen = counts(
+            routing.SlotAwareChoice(),
+            [candidate('a', load=0.0), candidate('b', load=0.8)],
+        )
+        self.assertGreater(chosen['b'], 60)
+
+    def test_zone_does_not_outweigh_slots(self) -> None:
+        """Guards against a full server that is preferred for its zone."""
+        chosen = counts(
+            routing.SlotAwareChoice(),
+            [candidate('a', idle=1, in_use=3, same_zone=True), candidate('b')],
+        )
+        self.assertEqual({'b': 200}, dict(chosen))
+
+    def test_nothing_idle_is_a_fault(self) -> None:
+        """Guards against a choice that has no slot."""
+        with self.assertRaises(ValueError):
+            routing.SlotAwareChoice().choose(
+                [candidate('a', idle=0)], random.Random(1)
+            )
+
+
+class TestBaselines(unittest.TestCase):
+    """Baselines do what their names say; measurements compare with them."""
+
+    def test_least_reported_load_follows_the_report(self) -> None:
+        """Guards against a baseline that is better than its name."""
+        chosen = counts(
+            routing.LeastReportedLoad(),
+            [candidate('a', load=0.1, trouble=0.9), candidate('b', load=0.2)],
+        )
+        self.assertEqual({'a': 200}, dict(chosen))
+
+    def test_two_choices_never_takes_the_worst(self) -> None:
+        """Guards against a sample of one."""
+        loads = {'a': 0.1, 'b': 0.5, 'c': 0.9}
+        chosen = counts(
+            routing.TwoChoicesReported(),
+            [candidate(name, load=load) for name, load in loads.items()],
+        )
+        self.assertNotIn('c', chosen)
+        self.assertGreater(chosen['a'], chosen['b'])
+
+    def test_round_robin_is_even(self) -> None:
+        """Guards against an order that skips servers."""
+        chosen = counts(
+            routing.RoundRobinChoice(), [candidate(name) for name in 'dbca']
+        )
+        self.assertEqual(dict.fromkeys('abcd', 50), dict(chosen))
+
+    def test_random_reaches_all(self) -> None:
+        """Guards against a fixed choice."""
+        chosen = counts(
+            routing.RandomChoice(), [candidate(name) for name in 'abcd']
+        )
+        self.assertTrue(all(30 < count < 70 for count in chosen.values()))
+        self.assertEqual(4, len(chosen))
