--- a/filbertstep/_queue.py
+++ b/filbertstep/_queue.py
@@ -23,6 +23,9 @@
 # Weight of one start in the moving average of the time between starts.
 GAP_WEIGHT: typing.Final = 0.1
 
+# Flows without waiting requests that are kept at most, about.
+FLOWS_KEPT: typing.Final = 64
+
 # Retry-After in seconds where the time between starts is not known yet.
 DEFAULT_RETRY_S: typing.Final = 1.0
 
@@ -264,13 +267,16 @@
         return removed
 
     def forget_idle(self) -> None:
-        """Drop flows that owe nothing, so that memory stays bounded."""
-        if len(self.flows) < 64:
+        """Drop flows that owe nothing, so that memory stays bounded.
+
+        While nothing waits, what a flow owes harms nobody.
+        """
+        if len(self.flows) < FLOWS_KEPT:
             return
         self.flows = {
             account: flow
             for account, flow in self.flows.items()
-            if flow.waiting or flow.finish > self.virtual
+            if flow.waiting or (self.size and flow.finish > self.virtual)
         }
 
     def expire(self, now: float) -> int:
--- /dev/null
+++ b/tests/test_routing_quarantine.py
@@ -0,0 +1,225 @@
+"""Tests of the quarantine and of the retry budget."""
+
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from filbertstep import routing
+
+ACCOUNTS = ('bakery', 'roaster', None)
+FINGERPRINTS = ('f0', 'f1', 'f2')
+
+
+class TestFingerprint(unittest.TestCase):
+    """Equal requests of one account have one fingerprint, others not."""
+
+    def test_parts_matter(self) -> None:
+        """Guards against two requests with one fingerprint."""
+        cases = (
+            ('a', 'GET', '/x', b''),
+            ('b', 'GET', '/x', b''),
+            (None, 'GET', '/x', b''),
+            ('a', 'PUT', '/x', b''),
+            ('a', 'GET', '/y', b''),
+            ('a', 'GET', '/x', b'1'),
+            ('aG', 'ET', '/x', b''),
+            ('a', 'GET', '/', b'x'),
+            ('a', 'GET', '', b'/x'),
+        )
+        found = {routing.fingerprint(*case) for case in cases}
+        self.assertEqual(len(cases), len(found))
+        self.assertEqual(
+            routing.fingerprint(*cases[0]), routing.fingerprint(*cases[0])
+        )
+
+
+class TestQuarantine(unittest.TestCase):
+    """Two strikes quarantine a request of one account for ten minutes."""
+
+    def test_second_strike_quarantines(self) -> None:
+        """Guards against a request that crashes server after server."""
+        system = routing.QuarantineSystem('vm-1', 'a')
+        system.strike('bakery', 'f', 10.0)
+        self.assertIsNone(system.quarantined('bakery', 'f', 10.0))
+        system.strike('bakery', 'f', 20.0)
+        self.assertEqual(600.0, system.quarantined('bakery', 'f', 20.0))
+        self.assertEqual(1.0, system.quarantined('bakery', 'f', 619.0))
+        self.assertIsNone(system.quarantined('bakery', 'f', 620.0))
+        self.assertIsNone(system.quarantined('roaster', 'f', 20.0))
+        system.tick(620.0)
+        self.assertEqual({}, system.accounts)
+
+    def test_strikes_of_two_vms_add_up(self) -> None:
+        """Guards against a caller that resends to each VM in turn."""
+        first = routing.QuarantineSystem('vm-1', 'a')
+        second = routing.QuarantineSystem('vm-2', 'b')
+        first.strike('bakery', 'f', 10.0)
+        second.strike('bakery', 'f', 110.0)
+        second.receive('vm-1', 'a', first.payload(12.0), 112.0)
+        self.assertIsNotNone(second.quarantined('bakery', 'f', 112.0))
+        # The same part again adds nothing, to the count or to the time.
+        until = second.quarantined('bakery', 'f', 120.0)
+        for _ in range(20):
+            second.receive('vm-1', 'a', first.payload(12.0), 120.0)
+            first.receive('vm-2', 'b', second.payload(120.0), 20.0)
+        self.assertEqual(until, second.quarantined('bakery', 'f', 120.0))
+        self.assertEqual(590.0, first.quarantined('bakery', 'f', 20.0))
+
+    def test_one_strike_of_a_peer_is_not_two(self) -> None:
+        """Guards against a strike that returns by way of a peer."""
+        first = routing.QuarantineSystem('vm-1', 'a')
+        second = routing.QuarantineSystem('vm-2', 'b')
+        first.strike('bakery', 'f', 10.0)
+        for now in range(11, 60):
+            second.receive('vm-1', 'a', first.payload(now), now)
+            first.receive('vm-2', 'b', second.payload(now), now)
+        self.assertIsNone(first.quarantined('bakery', 'f', 60.0))
+        self.assertIsNone(second.quarantined('bakery', 'f', 60.0))
+
+    def test_part_is_bounded_and_shared_by_accounts(self) -> None:
+        """Guards against one account that fills every heartbeat."""
+        system = routing.QuarantineSystem('vm-1', 'a')
+        system.strike('bakery', 'victim', 1.0)
+        for number in range(2000):
+            name = routing.fingerprint('flood', 'GET', f'/{number}', b'')
+            system.strike('flood', name, 2.0 + number / 1000)
+        part = system.payload(10.0)
+        self.assertIn(
+            'victim', [row['fingerprint'] for row in part['strikes']]
+        )
+        self.assertLess(len(json.dumps(part)), 2500)
+        self.assertLessEqual(len(system.accounts['flood']), 256)
+
+    def test_unreadable_part_is_ignored(self) -> None:
+        """Guards against a peer of another version that stops the tick."""
+        system = routing.QuarantineSystem('vm-1', 'a')
+        row = {'account': 'a', 'fingerprint': 'f', 'strikes': 2, 'age_s': 1.0}
+        for wrong in (
+            {},
+            {'strikes': 1},
+            {'strikes': [{**row, 'age_s': -5.0}]},
+            {'strikes': [{**row, 'age_s': 1e9}]},
+            {'strikes': [{**row, 'strikes': -1}]},
+            {'strikes': [{**row, 'other': 1}]},
+        ):
+            with self.subTest(wrong=wrong):
+                system.receive('vm-2', 'b', wrong, 10.0)
+                self.assertEqual({}, system.accounts)
+
+    @hypothesis.settings(
+        derandomize=True, max_examples=150, deadline=None, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(
+                strategies.tuples(
+                    strategies.just('strike'),
+                    strategies.integers(0, 2),
+                    strategies.sampled_from(ACCOUNTS),
+                    strategies.sampled_from(FINGERPRINTS),
+                ),
+                strategies.tuples(
+                    strategies.just('heartbeat'),
+                    strategies.integers(0, 2),
+                    strategies.integers(0, 2),
+                    strategies.none(),
+                ),
+                strategies.tuples(
+                    strategies.just('pause'),
+                    strategies.sampled_from([1, 60, 400, 599]),
+                    strategies.none(),
+                    strategies.none(),
+                ),
+            ),
+            max_size=40,
+        )
+    )
+    def test_any_interleaving(
+        self, steps: list[tuple[str, int, object, str | None]]
+    ) -> None:
+        """Guards against a quarantine without two strikes of the account.
+
+        Each VM quarantines what it saw struck twice within ten minutes, and
+        nothing that the same account's requests did not cause.
+        """
+        systems = [routing.QuarantineSystem(f'vm-{n}', 'a') for n in range(3)]
+        struck: list[tuple[int, int, object, str]] = []
+        now = 0
+        for kind, number, second, name in steps:
+            if kind == 'pause':
+                now += number
+                for system in systems:
+                    system.tick(now)
+            elif kind == 'heartbeat':
+                assert isinstance(second, int)
+                if number != second:
+                    systems[second].receive(
+                        f'vm-{number}', 'a', systems[number].payload(now), now
+                    )
+            else:
+                assert name is not None
+                assert second is None or isinstance(second, str)
+                systems[number].strike(second, name, now)
+                struck.append((now, number, second, name))
+            self.check(systems, struck, now)
+
+    def check(
+        self,
+        systems: list[routing.QuarantineSystem],
+        struck: list[tuple[int, int, object, str]],
+        now: int,
+    ) -> None:
+        """Check every VM, account and fingerprint."""
+        for number, system in enumerate(systems):
+            for account in ACCOUNTS:
+                for name in FINGERPRINTS:
+                    hits = [
+                        (at, vm)
+                        for at, vm, whose, what in struck
+                        if whose == account and what == name
+                    ]
+                    left = system.quarantined(account, name, now)
+                    own = [at for at, vm in hits if vm == number]
+                    if (
+                        len(own) > 1
+                        and own[-1] - own[-2] < 600 > now - own[-1]
+                    ):
+                        self.assertIsNotNone(left)
+                    if left is not None:
+                        self.assertGreater(len(hits), 1)
+                        self.assertLessEqual(left, hits[-1][0] + 600 - now)
+
+
+class TestRetryBudget(unittest.TestCase):
+    """Retries are at most a tenth of the requests of a service."""
+
+    def test_tenth(self) -> None:
+        """Guards against retries that multiply the load."""
+        budget = routing.RetryBudget()
+        self.assertFalse(budget.try_retry('bookings'))
+        retries = 0
+        for number in range(1, 1001):
+            budget.note_request('bookings')
+            retries += budget.try_retry('bookings')
+            self.assertLessEqual(retries, number / 10)
+        self.assertEqual(100, retries)
+
+    def test_services_have_their_own(self) -> None:
+        """Guards against a service that uses up another's retries."""
+        budget = routing.RetryBudget()
+        for _ in range(10):
+            budget.note_request('bookings')
+        self.assertFalse(budget.try_retry('parts'))
+        self.assertTrue(budget.try_retry('bookings'))
+        budget.keep({'parts'})
+        self.assertEqual({}, budget.tokens)
+
+    def test_quiet_time_saves_up_little(self) -> None:
+        """Guards against a burst of retries after a quiet day."""
+        budget = routing.RetryBudget()
+        for _ in range(100_000):
+            budget.note_request('bookings')
+        retries = sum(budget.try_retry('bookings') for _ in range(1000))
+        self.assertEqual(20, retries)
