--- /dev/null
+++ b/filbertstep/_caller.py
@@ -0,0 +1,489 @@
+"""A small caller that fails over and repeats requests safely.
+
+A request that must run at most once keeps its request id through all resends.
+It gets a new id only when nothing under the old one can run any more: every
+try was answered with 'not run', or the system said ``not_run``, which is
+final for the id.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import random
+import sys
+import typing
+import urllib.parse
+import uuid
+
+import aiohttp
+import fire
+import yarl
+
+from filbertstep import codec
+from filbertstep import errors
+from filbertstep import lookup
+
+# Tries of one request, look-ups not counted.
+MAX_ATTEMPTS: typing.Final = 12
+
+# Time limits in seconds of a request as a whole, of connecting, and of one
+# look-up.
+DEADLINE_S: typing.Final = 20.0
+CONNECT_TIMEOUT_S: typing.Final = 1.0
+LOOKUP_TIMEOUT_S: typing.Final = 2.0
+
+# A try at a frozen VM must leave time for others.
+TRY_TIMEOUT_S: typing.Final = 6.0
+
+# Backoff in seconds between tries: full jitter up to a doubling bound.
+FIRST_BACKOFF_S: typing.Final = 0.05
+LONGEST_BACKOFF_S: typing.Final = 2.0
+
+# Time in seconds for which a VM that failed is tried after all others.
+AVOID_S: typing.Final = 5.0
+
+IDEMPOTENT_METHODS: typing.Final = frozenset({'GET', 'HEAD', 'OPTIONS'})
+
+OUTCOME_PATH: typing.Final = '/v1/outcome'
+
+
+class CallAnswer(typing.NamedTuple):
+    """The end of a request.
+
+    ``kind`` is None for an answer of the backend server.  ``ran`` covers all
+    tries: NO is certain.  ``status`` is 0 when no answer came at all.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    attempts: int
+    request_ids: tuple[str, ...]
+    kind: errors.ErrorKind | None
+    ran: errors.Ran
+
+
+class Request(typing.NamedTuple):
+    """What a caller wants."""
+
+    service: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    idempotent: bool
+
+
+class Reply(typing.NamedTuple):
+    """Answer to one try; ``status`` 0 when none came.
+
+    ``sent`` is False when the connection could not be made.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    sent: bool = True
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a header."""
+        for found, value in self.headers:
+            if found.lower() == name:
+                return value
+        return None
+
+    def kind(self) -> errors.ErrorKind | None:
+        """Return the error kind that the system set."""
+        try:
+            return errors.ErrorKind(self.header('x-error-kind') or '')
+        except ValueError:
+            return None
+
+    def ran(self) -> errors.Ran:
+        """Return what this answer says of the request having run."""
+        if self.status == 0:
+            return errors.Ran.UNKNOWN if self.sent else errors.Ran.NO
+        kind = self.kind()
+        try:
+            return errors.Ran(self.header('x-ran') or '')
+        except ValueError:
+            if kind is None:
+                return errors.Ran.YES
+            return errors.ANSWERS[kind].ran
+
+    def retry(self) -> errors.Retry | None:
+        """Return the advice for a repeat, or None for a final answer."""
+        if self.status == 0:
+            return errors.Retry.OTHER_VM
+        kind = self.kind()
+        return None if kind is None else errors.ANSWERS[kind].retry
+
+    def retry_after_s(self) -> float:
+        """Return the time in seconds to wait at least."""
+        try:
+            return max(0.0, float(self.header('retry-after') or 0))
+        except ValueError:
+            return 0.0
+
+
+@dataclasses.dataclass
+class Progress:
+    """State of one request over its tries.
+
+    ``open_id`` tells that a try under the current id may still run, so that
+    another id could run the request twice.  ``grant`` came with ``not_run``.
+    """
+
+    request: Request
+    deadline: float
+    attempts: int = 0
+    ids: list[str] = dataclasses.field(default_factory=list)
+    request_id: str | None = None
+    open_id: bool = False
+    polling: bool = False
+    grant: str | None = None
+    last: Reply | None = None
+
+
+class CallerClient:
+    """Calls services through the entry VMs that look-ups name."""
+
+    def __init__(
+        self,
+        lookup_urls: collections.abc.Sequence[str],
+        key: str | None,
+        deadline_s: float = DEADLINE_S,
+        max_attempts: int = MAX_ATTEMPTS,
+        try_timeout_s: float = TRY_TIMEOUT_S,
+        seed: int | None = None,
+    ) -> None:
+        self.lookup_urls = [url.rstrip('/') for url in lookup_urls]
+        self.key = key
+        self.deadline_s = deadline_s
+        self.max_attempts = max_attempts
+        self.try_timeout_s = try_timeout_s
+        self.random = random.Random(seed)
+        self.session: aiohttp.ClientSession | None = None
+        self.cache: dict[str, tuple[float, list[lookup.LookupVmDoc]]] = {}
+        # Time of the event loop until which a URL is tried last.
+        self.avoid: dict[str, float] = {}
+        self.lookups = 0
+
+    async def __aenter__(self) -> 'CallerClient':
+        """Open the client's connections."""
+        self.session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close the client's connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def call(
+        self,
+        service: str,
+        method: str,
+        target: str,
+        headers: collections.abc.Sequence[tuple[str, str]] = (),
+        body: bytes = b'',
+        idempotent: bool | None = None,
+        deadline_s: float | None = None,
+    ) -> CallAnswer:
+        """Run a request; ``target`` is its path with an encoded query.
+
+        Without ``idempotent`` the method decides, as for GET.  Never raises
+        for failures of the network.
+        """
+        if idempotent is None:
+            idempotent = method in IDEMPOTENT_METHODS
+        request = Request(
+            service, method, target, tuple(headers), body, idempotent
+        )
+        limit = self.deadline_s if deadline_s is None else deadline_s
+        progress = Progress(request, asyncio.get_running_loop().time() + limit)
+        try:
+            async with asyncio.timeout_at(progress.deadline):
+                return await self.run(progress)
+        except TimeoutError:
+            return ended(progress)
+
+    async def run(self, progress: Progress) -> CallAnswer:
+        """Try until an answer is final or the tries are used up."""
+        backoff = FIRST_BACKOFF_S
+        while progress.attempts < self.max_attempts:
+            vms = await self.vms(progress.request.service)
+            vm = self.choose(progress, vms)
+            if vm is not None:
+                reply = await self.attempt(progress, vm)
+                if self.decide(progress, vm, reply):
+                    return ended(progress)
+            await asyncio.sleep(self.pause(progress, backoff))
+            backoff = min(2 * backoff, LONGEST_BACKOFF_S)
+        return ended(progress)
+
+    def pause(self, progress: Progress, backoff: float) -> float:
+        """Return seconds to wait before the next try."""
+        last = progress.last
+        if last is None:
+            return self.random.uniform(0, backoff)
+        elsewhere = (errors.Retry.OTHER_VM, errors.Retry.FRESH_GRANT)
+        if progress.attempts == 1 and last.retry() in elsewhere:
+            # The failure of one VM says nothing about the next one.
+            return 0.0
+        return last.retry_after_s() + self.random.uniform(0, backoff)
+
+    async def attempt(
+        self, progress: Progress, vm: lookup.LookupVmDoc
+    ) -> Reply:
+        """Send a request, or ask for its outcome, once."""
+        progress.attempts += 1
+        request = progress.request
+        if progress.request_id is None:
+            progress.request_id = self.new_id(progress, vm)
+            progress.ids.append(progress.request_id)
+        if progress.polling:
+            query = urllib.parse.urlencode({'id': progress.request_id})
+            return await self.send(
+                f'{vm["url"]}{OUTCOME_PATH}?{query}', 'GET', (), b''
+            )
+        # Until an answer comes, this try may run at any later time.
+        before = progress.open_id
+        progress.open_id = True
+        reply = await self.send(
+            f'{vm["url"]}{request.target}',
+            request.method,
+            (*request.headers, ('X-Request-Id', progress.request_id)),
+            request.body,
+        )
+        if reply.ran() is errors.Ran.NO:
+            progress.open_id = before
+        return reply
+
+    def new_id(self, progress: Progress, vm: lookup.LookupVmDoc) -> str:
+        """Return a request id of a VM's grant."""
+        grant = progress.grant or vm['grant']
+        progress.grant = None
+        return f'{grant}~{uuid.UUID(int=self.random.getrandbits(128))}'
+
+    def decide(
+        self, progress: Progress, vm: lookup.LookupVmDoc, reply: Reply
+    ) -> bool:
+        """Note an answer; return whether it ends the request."""
+        asked_outcome = progress.polling
+        progress.last = reply
+        progress.polling = False
+        kind = reply.kind()
+        retry = reply.retry()
+        if kind is errors.ErrorKind.NOT_RUN:
+            # Final for the id: nothing under it runs any more.
+            progress.open_id = False
+            progress.request_id = None
+            progress.grant = reply.header('x-grant')
+            if progress.grant is None:
+                self.cache.pop(progress.request.service, None)
+            return False
+        if retry is None or retry is errors.Retry.NEVER:
+            # A refusal of the question says nothing about the request.
+            if asked_outcome and retry is errors.Retry.NEVER:
+                progress.polling = True
+                self.shun(vm)
+                return False
+            if reply.ran() is errors.Ran.YES:
+                progress.open_id = False
+            return True
+        if retry is errors.Retry.OTHER_VM:
+            self.shun(vm)
+        if progress.request.idempotent:
+            progress.request_id = None
+            return False
+        progress.polling = retry in (
+            errors.Retry.ASK_OUTCOME,
+            errors.Retry.IDEMPOTENT_ONLY,
+        ) or (asked_outcome and reply.status != 0)
+        if not progress.open_id and not progress.polling:
+            progress.request_id = None
+        return False
+
+    def shun(self, vm: lookup.LookupVmDoc) -> None:
+        """Try a VM after the others for some time."""
+        loop = asyncio.get_running_loop()
+        self.avoid[vm['url']] = loop.time() + AVOID_S
+
+    def choose(
+        self, progress: Progress, vms: list[lookup.LookupVmDoc]
+    ) -> lookup.LookupVmDoc | None:
+        """Return the VM for the next try.
+
+        A new id goes to its owner, which alone may run it.
+        """
+        now = asyncio.get_running_loop().time()
+        ordered = sorted(
+            vms, key=lambda vm: self.avoid.get(vm['url'], 0.0) > now
+        )
+        if progress.grant is not None and progress.request_id is None:
+            owner = progress.grant.partition('~')[0]
+            for vm in ordered:
+                if vm['vm'] == owner:
+                    return vm
+            progress.grant = None
+        return ordered[0] if ordered else None
+
+    async def vms(self, service: str) -> list[lookup.LookupVmDoc]:
+        """Return the VMs of a look-up that is not older than its hold."""
+        now = asyncio.get_running_loop().time()
+        until, vms = self.cache.get(service, (0.0, []))
+        if now < until:
+            return vms
+        urls = sorted(
+            self.lookup_urls, key=lambda url: self.avoid.get(url, 0.0) > now
+        )
+        for url in urls:
+            found = await self.look_up(url, service)
+            if found is not None:
+                self.cache[service] = (now + found['hold_s'], found['vms'])
+                return found['vms']
+            self.avoid[url] = now + AVOID_S
+        # No VM answers look-ups; the former answer is better than none.
+        return vms
+
+    async def look_up(self, url: str, service: str) -> lookup.LookupDoc | None:
+        """Ask one VM; return None when it does not answer."""
+        self.lookups += 1
+        query = urllib.parse.urlencode({'service': service})
+        reply = await self.send(
+            f'{url}/v1/lookup?{query}', 'GET', (), b'', LOOKUP_TIMEOUT_S
+        )
+        if reply.status != 200:
+            return None
+        return codec.decode(reply.body, lookup.LookupDoc).ok()
+
+    async def send(
+        self,
+        url: str,
+        method: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+        timeout_s: float | None = None,
+    ) -> Reply:
+        """Send one HTTP request and read the whole answer."""
+        if timeout_s is None:
+            timeout_s = self.try_timeout_s
+        if self.session is None:
+            raise RuntimeError('the client is used outside its context')
+        sent = list(headers)
+        if self.key is not None:
+            sent.append(('Authorization', f'Bearer {self.key}'))
+        try:
+            async with self.session.request(
+                method,
+                yarl.URL(url, encoded=True),
+                headers=sent,
+                data=body or None,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s, connect=CONNECT_TIMEOUT_S
+                ),
+            ) as response:
+                content = await response.read()
+                pairs = tuple(response.headers.items())
+                return Reply(response.status, pairs, content)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ):
+            return Reply(0, sent=False)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return Reply(0)
+
+
+def ended(progress: Progress) -> CallAnswer:
+    """Return the answer of a request that is over."""
+    last = progress.last or Reply(0, sent=False)
+    kind, ran = last.kind(), last.ran()
+    if last.status == 0:
+        kind = errors.ErrorKind.DEADLINE_EXCEEDED
+    if progress.open_id and ran is errors.Ran.NO:
+        # An earlier try under this id has not been answered.
+        ran = errors.Ran.UNKNOWN
+        kind = kind or errors.ErrorKind.OUTCOME_UNKNOWN
+    return CallAnswer(
+        status=last.status,
+        headers=last.headers,
+        body=last.body,
+        attempts=progress.attempts,
+        request_ids=tuple(progress.ids),
+        kind=kind,
+        ran=ran,
+    )
+
+
+async def call_once(
+    lookup_urls: list[str],
+    key: str | None,
+    service: str,
+    method: str,
+    target: str,
+    body: bytes,
+    deadline_s: float,
+) -> CallAnswer:
+    """Run one request with a client of its own."""
+    async with CallerClient(lookup_urls, key) as client:
+        return await client.call(
+            service, method, target, (), body, deadline_s=deadline_s
+        )
+
+
+def command(
+    service: str,
+    target: str,
+    lookup_urls: str,
+    key_file: str = '',
+    method: str = 'GET',
+    body: str = '',
+    deadline_s: str = str(DEADLINE_S),
+) -> None:
+    """Send one request and print its outcome as JSON, then its body.
+
+    ``lookup_urls`` holds URLs of entry VMs, separated by commas.  The key is
+    read from a file, because other users can see arguments of a process.
+    """
+    key = None
+    if key_file:
+        key = pathlib.Path(key_file).read_text(encoding='utf-8').strip()
+    answer = asyncio.run(
+        call_once(
+            lookup_urls.split(','),
+            key,
+            service,
+            method,
+            target,
+            body.encode(),
+            float(deadline_s),
+        )
+    )
+    summary = {
+        'status': answer.status,
+        'attempts': answer.attempts,
+        'request_ids': answer.request_ids,
+        'kind': answer.kind,
+        'ran': answer.ran,
+    }
+    print(json.dumps(summary))
+    sys.stdout.flush()
+    sys.stdout.buffer.write(answer.body)
+    sys.stdout.buffer.flush()
+    if answer.kind is not None or not 200 <= answer.status < 400:
+        sys.exit(1)
+
+
+def main() -> None:
+    """Run the ``filbertstep-call`` command."""
+    # Arguments stay texts; fire would read a JSON body as a Python object.
+    fire.Fire(
+        fire.decorators.SetParseFn(str)(command), name='filbertstep-call'
+    )
--- /dev/null
+++ b/filbertstep/_forward.py
@@ -0,0 +1,367 @@
+"""One try of a request at a backend server.
+
+The outcome says whether the server may have run the request.  It is 'not
+sent' only while no byte of the request went out, so the connector asks for
+permission after it has a connection and before the request uses it.
+"""
+
+import asyncio
+import collections.abc
+import contextvars
+import enum
+import typing
+
+import aiohttp
+import yarl
+
+from filbertstep import errors
+
+# Answers up to this size, in bytes, are read whole before they are passed on;
+# the caller then gets an error instead of a cut answer.
+MAX_BUFFERED: typing.Final = 1024 * 1024
+
+# Idle connections are closed after this time in seconds.  It must be shorter
+# than the time after which backend servers close theirs: a request sent on a
+# connection that is closed at that moment has an unknown outcome.
+KEEPALIVE_S: typing.Final = 4.0
+
+# Connections of one process to one backend server.
+MAX_CONNECTIONS: typing.Final = 64
+
+OnSending = collections.abc.Callable[[], errors.Failure | None]
+"""Called when a connection exists; a failure stops the request as not run."""
+
+
+class OutcomeKind(enum.Enum):
+    """What became of one try."""
+
+    ANSWERED = enum.auto()
+    NOT_SENT = enum.auto()
+    SHED = enum.auto()
+    BROKEN = enum.auto()
+    TIMED_OUT = enum.auto()
+    MISMATCHED = enum.auto()
+    CANCELLED = enum.auto()
+
+
+class Attempt(typing.NamedTuple):
+    """A request for one backend server.
+
+    ``path`` and ``query`` are encoded; ``server`` is ``host:port``;
+    ``time_left_s`` in seconds is what the server learns as its deadline.
+    """
+
+    server: str
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    request_id: str
+    time_left_s: float
+
+
+class BrokenAnswerError(Exception):
+    """A streamed answer ended before its end."""
+
+
+class Outcome(typing.NamedTuple):
+    """Outcome of a try; what it holds depends on the kind.
+
+    ``sent`` tells whether the server may have seen the request.  ``failure``
+    is that of ``on_sending``.  For ANSWERED either ``body`` is whole, or
+    ``stream`` yields it and raises ``BrokenAnswerError`` when it is cut.
+    """
+
+    kind: OutcomeKind
+    sent: bool
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    stream: 'AnswerStream | None' = None
+    failure: errors.Failure | None = None
+    message: str = ''
+
+
+class StoppedError(Exception):
+    """Stops a request that has a connection but was not sent."""
+
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
+
+
+class RepeatedError(Exception):
+    """Stops the HTTP client from sending a request a second time."""
+
+
+class Sending:
+    """State of one try while it runs."""
+
+    def __init__(self, on_sending: OnSending, deadline: float) -> None:
+        self.on_sending = on_sending
+        # Time of the event loop at which the try ends.
+        self.deadline = deadline
+        self.sent = False
+        self.cancelled = False
+        self.limit: asyncio.Timeout | None = None
+
+    def permit(self, request: aiohttp.ClientRequest) -> None:
+        """Mark the request as sent, or raise to stop it."""
+        if self.sent:
+            # The HTTP client repeats some methods when a kept connection was
+            # closed; whether that is allowed is for the service to say.
+            raise RepeatedError
+        failure = self.on_sending()
+        if failure is not None:
+            raise StoppedError(failure)
+        # The server counts the time from now on; waiting for the connection
+        # must not let it run longer than the slot is held.
+        left = self.deadline - asyncio.get_running_loop().time()
+        if left <= 0:
+            raise TimeoutError
+        request.headers['X-Deadline-Ms'] = str(max(1, int(left * 1000)))
+        self.sent = True
+
+
+SENDING: contextvars.ContextVar[Sending | None] = contextvars.ContextVar(
+    'SENDING', default=None
+)
+
+
+class AskingConnector(aiohttp.TCPConnector):
+    """Asks the running try for permission once it has a connection."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: typing.Any,
+        timeout: aiohttp.ClientTimeout,
+    ) -> typing.Any:
+        """Return a connection that the request uses at once."""
+        connection = await super().connect(req, traces, timeout)
+        sending = SENDING.get()
+        if sending is not None:
+            try:
+                sending.permit(req)
+            except BaseException:
+                connection.release()
+                raise
+        return connection
+
+
+class AnswerStream:
+    """The body of a large answer, in pieces.
+
+    The consumer must read to the end or call ``close``.
+    """
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        read: list[bytes],
+        deadline: float,
+    ) -> None:
+        self.response = response
+        self.read = read
+        self.deadline = deadline
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the pieces; raise ``BrokenAnswerError`` if it is cut."""
+        try:
+            for piece in self.read:
+                yield piece
+            while True:
+                async with asyncio.timeout_at(self.deadline):
+                    piece = await self.response.content.readany()
+                if not piece:
+                    break
+                yield piece
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise BrokenAnswerError(type(error).__name__) from error
+        finally:
+            # Closes the connection unless the answer was read to its end.
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection if the answer is not complete."""
+        if self.response.content.at_eof():
+            self.response.release()
+        else:
+            self.response.close()
+
+
+class Forwarder:
+    """Sends requests to backend servers over kept connections."""
+
+    def __init__(self, connections: int = MAX_CONNECTIONS) -> None:
+        self.connections = connections
+        self.session: aiohttp.ClientSession | None = None
+        self.running: dict[str, Sending] = {}
+
+    def start(self) -> aiohttp.ClientSession:
+        """Return the session, which needs a running event loop."""
+        if self.session is None:
+            self.session = aiohttp.ClientSession(
+                connector=AskingConnector(
+                    limit=0,
+                    limit_per_host=self.connections,
+                    keepalive_timeout=KEEPALIVE_S,
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                timeout=aiohttp.ClientTimeout(total=None),
+                skip_auto_headers=(
+                    'User-Agent',
+                    'Accept',
+                    'Accept-Encoding',
+                    'Content-Type',
+                ),
+            )
+        return self.session
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self.session is not None:
+            await self.session.close()
+            self.session = None
+
+    def cancel(self, request_id: str) -> bool:
+        """Close the connection of a running try, as for a withdrawn key.
+
+        The try's outcome is CANCELLED.  Returns whether it was running.
+        """
+        sending = self.running.get(request_id)
+        if sending is None or sending.limit is None:
+            return False
+        sending.cancelled = True
+        sending.limit.reschedule(asyncio.get_running_loop().time())
+        return True
+
+    async def send(self, attempt: Attempt, on_sending: OnSending) -> Outcome:
+        """Try a request at a backend server.
+
+        Cancelling this coroutine closes the connection, by which the server
+        learns that the work is no longer wanted.
+        """
+        loop = asyncio.get_running_loop()
+        sending = Sending(on_sending, loop.time() + attempt.time_left_s)
+        token = SENDING.set(sending)
+        self.running[attempt.request_id] = sending
+        try:
+            async with asyncio.timeout_at(sending.deadline) as limit:
+                sending.limit = limit
+                return await self.exchange(attempt, sending)
+        except TimeoutError:
+            return self.timed_out(sending)
+        except StoppedError as error:
+            return Outcome(
+                OutcomeKind.NOT_SENT,
+                False,
+                failure=error.failure,
+                message=error.failure.message,
+            )
+        except (aiohttp.ClientError, OSError, RepeatedError) as error:
+            return lost(sending, type(error).__name__)
+        finally:
+            SENDING.reset(token)
+            if self.running.get(attempt.request_id) is sending:
+                del self.running[attempt.request_id]
+
+    def timed_out(self, sending: Sending) -> Outcome:
+        """Return the outcome of a try whose time limit passed."""
+        if sending.cancelled:
+            return Outcome(
+                OutcomeKind.CANCELLED, sending.sent, message='cancelled'
+            )
+        if not sending.sent:
+            return lost(sending, 'no connection in time')
+        return Outcome(OutcomeKind.TIMED_OUT, True, message='no answer')
+
+    async def exchange(self, attempt: Attempt, sending: Sending) -> Outcome:
+        """Send a request and read its answer."""
+        text = f'http://{attempt.server}{attempt.path}'
+        if attempt.query:
+            text = f'{text}?{attempt.query}'
+        headers = [
+            *attempt.headers,
+            ('X-Request-Id', attempt.request_id),
+        ]
+        response = await self.start().request(
+            attempt.method,
+            yarl.URL(text, encoded=True),
+            headers=headers,
+            data=attempt.body or None,
+            allow_redirects=False,
+        )
+        try:
+            return await self.read(attempt, sending, response)
+        except BaseException:
+            response.close()
+            raise
+
+    async def read(
+        self,
+        attempt: Attempt,
+        sending: Sending,
+        response: aiohttp.ClientResponse,
+    ) -> Outcome:
+        """Check an answer and read it, as far as it is buffered."""
+        headers = tuple(
+            (name, value) for name, value in response.headers.items()
+        )
+        echoed = response.headers.get('X-Request-Id')
+        if echoed is not None and echoed != attempt.request_id:
+            response.close()
+            return Outcome(
+                OutcomeKind.MISMATCHED, True, message='answer of another'
+            )
+        if not bounded(attempt.method, response):
+            response.close()
+            return lost(sending, 'the end of the answer is not marked')
+        pieces, complete = await read_pieces(response)
+        kind = OutcomeKind.ANSWERED
+        if response.headers.get('X-Not-Run', '').lower() == 'true':
+            kind = OutcomeKind.SHED
+        if not complete and kind is OutcomeKind.ANSWERED:
+            stream = AnswerStream(response, pieces, sending.deadline)
+            return Outcome(kind, True, response.status, headers, stream=stream)
+        if complete:
+            response.release()
+        else:
+            response.close()
+        return Outcome(kind, True, response.status, headers, b''.join(pieces))
+
+
+def lost(sending: Sending, message: str) -> Outcome:
+    """Return the outcome of a try whose connection failed."""
+    kind = OutcomeKind.BROKEN if sending.sent else OutcomeKind.NOT_SENT
+    return Outcome(kind, sending.sent, message=message)
+
+
+def bounded(method: str, response: aiohttp.ClientResponse) -> bool:
+    """Tell whether an answer says where it ends.
+
+    Without a length or chunks, a cut connection looks like the end.
+    """
+    if method == 'HEAD' or response.status in (204, 304):
+        return True
+    if 'Content-Length' in response.headers:
+        return True
+    coding = response.headers.get('Transfer-Encoding', '')
+    return coding.lower().endswith('chunked')
+
+
+async def read_pieces(
+    response: aiohttp.ClientResponse,
+) -> tuple[list[bytes], bool]:
+    """Read up to the buffering limit; return whether that was all."""
+    pieces: list[bytes] = []
+    size = 0
+    while size <= MAX_BUFFERED:
+        piece = await response.content.readany()
+        if not piece:
+            return pieces, True
+        pieces.append(piece)
+        size += len(piece)
+    return pieces, False
--- /dev/null
+++ b/filbertstep/_intent_messages.py
@@ -0,0 +1,101 @@
+"""Messages to the backup of a request id, and the failures of the protocol."""
+
+import base64
+import typing
+
+import result
+
+from filbertstep import _intent_table
+from filbertstep import errors
+
+INTENT_PATH: typing.Final = '/peer/intent'
+
+
+class AnswerDoc(typing.TypedDict):
+    """A stored answer on the wire; ``body`` in base64."""
+
+    status: int
+    headers: list[list[str]]
+    body: str
+    too_large: bool
+
+
+class IntentDoc(typing.TypedDict):
+    """A message to the backup; ``id`` is a request id."""
+
+    event: _intent_table.Event
+    account: str
+    id: str
+    digest: str
+    answer: AnswerDoc | None
+
+
+class ReplyDoc(typing.TypedDict):
+    """The backup's reply."""
+
+    reply: _intent_table.Reply
+    answer: AnswerDoc | None
+
+
+Outcome = result.Result[_intent_table.StoredAnswer, errors.Failure]
+"""What became of a request."""
+
+
+def answer_doc(
+    answer: _intent_table.StoredAnswer | None,
+) -> AnswerDoc | None:
+    """Return an answer as it is sent."""
+    if answer is None:
+        return None
+    return {
+        'status': answer.status,
+        'headers': [list(pair) for pair in answer.headers],
+        'body': base64.b64encode(answer.body).decode('ascii'),
+        'too_large': answer.too_large,
+    }
+
+
+def answer_row(
+    doc: AnswerDoc | None,
+) -> result.Result[_intent_table.StoredAnswer | None, errors.Failure]:
+    """Return the answer of a document."""
+    if doc is None:
+        return result.Ok(None)
+    if any(len(pair) != 2 for pair in doc['headers']):
+        return bad_request('a header is a pair of name and value')
+    try:
+        body = base64.b64decode(doc['body'], validate=True)
+    except ValueError:
+        return bad_request('the stored body is not base64')
+    headers = tuple((pair[0], pair[1]) for pair in doc['headers'])
+    return result.Ok(
+        _intent_table.StoredAnswer(
+            doc['status'], headers, body, doc['too_large']
+        )
+    )
+
+
+def bad_request(message: str) -> result.Err[errors.Failure]:
+    """Return the failure for a malformed message."""
+    return result.Err(errors.Failure(errors.ErrorKind.BAD_REQUEST, message))
+
+
+def not_run(message: str) -> result.Err[errors.Failure]:
+    """Return the failure that is final for an id: it never runs."""
+    return result.Err(errors.Failure(errors.ErrorKind.NOT_RUN, message))
+
+
+def unknown(message: str) -> result.Err[errors.Failure]:
+    """Return the failure that leaves open whether a request ran."""
+    return result.Err(
+        errors.Failure(errors.ErrorKind.OUTCOME_UNKNOWN, message)
+    )
+
+
+def overloaded() -> result.Err[errors.Failure]:
+    """Return the failure for a full table of this process."""
+    return result.Err(
+        errors.Failure(
+            errors.ErrorKind.OVERLOADED, 'too many request ids are held', 1.0
+        )
+    )
--- /dev/null
+++ b/filbertstep/_owned.py
@@ -0,0 +1,102 @@
+"""The owner's records of the request ids that it runs."""
+
+import asyncio
+import dataclasses
+import enum
+
+import result
+
+from filbertstep import _intent_messages
+from filbertstep import _intent_table
+from filbertstep import _request_ids
+from filbertstep import errors
+
+
+class Phase(enum.Enum):
+    """How far the owner is with an id."""
+
+    ASKING = enum.auto()
+    GO = enum.auto()
+    SETTLED = enum.auto()
+
+
+@dataclasses.dataclass
+class Owned:
+    """Row of an id that this process owns.
+
+    ``had_go`` tells that the backup allowed the run, so that it may have run.
+    """
+
+    grant: _request_ids.Grant
+    digest: str
+    created: float
+    outcome: asyncio.Future[_intent_messages.Outcome]
+    phase: Phase = Phase.ASKING
+    had_go: bool = False
+
+    def settle(self, outcome: _intent_messages.Outcome) -> None:
+        """Fix the outcome, for those who wait and those who ask later."""
+        self.phase = Phase.SETTLED
+        if not self.outcome.done():
+            self.outcome.set_result(outcome)
+
+
+class OwnedTable:
+    """Rows by client account and request id, oldest first."""
+
+    def __init__(self, max_records: int) -> None:
+        self.rows: dict[_intent_table.Key, Owned] = {}
+        self.max_records = max_records
+        self.budget = _intent_table.AnswerBudget()
+        # Greatest minute of forgotten ids that may have run, by backup.  When
+        # the backup no longer answers, nothing else tells that they are old.
+        # Only backups that once answered are here, so callers cannot fill it.
+        self.forgotten: dict[tuple[str, str], int] = {}
+
+    def add(
+        self,
+        key: _intent_table.Key,
+        grant: _request_ids.Grant,
+        digest: str,
+        now: float,
+    ) -> result.Result[Owned, errors.Failure]:
+        """Add a new id, or say why it must not run."""
+        backup = (grant.backup, grant.backup_incarnation)
+        if grant.minute <= self.forgotten.get(backup, -1):
+            return _intent_messages.unknown('the request id is too old')
+        if len(self.rows) >= self.max_records:
+            return _intent_messages.overloaded()
+        future: asyncio.Future[_intent_messages.Outcome]
+        future = asyncio.get_running_loop().create_future()
+        self.rows[key] = own = Owned(grant, digest, now, future)
+        return result.Ok(own)
+
+    def keep(self, own: Owned, answer: _intent_table.StoredAnswer) -> None:
+        """Settle a row with an answer, as far as there is room for it."""
+        if own.outcome.done():
+            return
+        own.settle(result.Ok(self.budget.keep(answer)))
+
+    def prune(self, now: float) -> None:
+        """Forget rows past their lifetime."""
+        oldest = now - _intent_table.RECORD_LIFETIME_S
+        expired = []
+        for key, own in self.rows.items():
+            if own.created > oldest:
+                break
+            expired.append(key)
+        for key in expired:
+            self.forget(key)
+
+    def forget(self, key: _intent_table.Key) -> None:
+        """Drop a row, but remember that its id may have run."""
+        own = self.rows.pop(key)
+        own.settle(
+            _intent_messages.unknown("no outcome within the id's lifetime")
+        )
+        self.budget.drop(own.outcome.result().ok())
+        if own.had_go:
+            backup = (own.grant.backup, own.grant.backup_incarnation)
+            self.forgotten[backup] = max(
+                own.grant.minute, self.forgotten.get(backup, 0)
+            )
--- /dev/null
+++ b/filbertstep/_request_ids.py
@@ -0,0 +1,116 @@
+"""Grants and request ids: who may run a request, and who knows about it.
+
+A look-up answer holds a grant for each VM.  The caller appends a suffix of
+its own and so makes a request id, which names the only process that may run
+the request (the owner) and the process that records it (the backup).  Both
+are processes, not VMs: a restarted VM has another incarnation.
+"""
+
+import re
+import typing
+
+import result
+
+from filbertstep import errors
+
+SEPARATOR: typing.Final = '~'
+
+# VM names, and incarnations, as parts of an id.  The separator must not occur
+# in any part, and the limits keep a record of the backup small.
+VM_PATTERN: typing.Final = r'[a-z0-9][a-z0-9-]{0,62}'
+INCARNATION_PATTERN: typing.Final = r'[A-Za-z0-9._-]{1,64}'
+# No leading zeros: two spellings of one grant would be two ids.
+MINUTE_PATTERN: typing.Final = r'0|[1-9][0-9]{0,9}'
+SUFFIX_PATTERN: typing.Final = r'[A-Za-z0-9-]{1,64}'
+
+# Two VMs, two incarnations, minute, suffix and five separators.
+MAX_LENGTH: typing.Final = 63 * 2 + 64 * 2 + 10 + 64 + 5
+
+GRANT: typing.Final = re.compile(
+    f'({VM_PATTERN})~({INCARNATION_PATTERN})'
+    f'~({VM_PATTERN})~({INCARNATION_PATTERN})~({MINUTE_PATTERN})'
+)
+REQUEST_ID: typing.Final = re.compile(
+    f'(?P<grant>{GRANT.pattern})~({SUFFIX_PATTERN})'
+)
+
+# Length in seconds of one step of the counter that ages request ids.
+MINUTE_S: typing.Final = 60.0
+
+
+class Grant(typing.NamedTuple):
+    """The right of one process to run requests that another records.
+
+    ``minute`` is the backup's minute counter at the time of the grant.
+    """
+
+    owner: str
+    owner_incarnation: str
+    backup: str
+    backup_incarnation: str
+    minute: int
+
+
+class RequestId(typing.NamedTuple):
+    """An idempotency key: a grant and the caller's own suffix."""
+
+    grant: Grant
+    suffix: str
+
+
+def minute_of(now: float) -> int:
+    """Return the minute counter of a VM at a time of its own clock."""
+    return int(now // MINUTE_S)
+
+
+def format_grant(grant: Grant) -> str:
+    """Return the text of a grant."""
+    return SEPARATOR.join(
+        (
+            grant.owner,
+            grant.owner_incarnation,
+            grant.backup,
+            grant.backup_incarnation,
+            str(grant.minute),
+        )
+    )
+
+
+def format_request_id(request_id: RequestId) -> str:
+    """Return the text of a request id."""
+    return f'{format_grant(request_id.grant)}{SEPARATOR}{request_id.suffix}'
+
+
+def parse_grant(text: str) -> result.Result[Grant, errors.Failure]:
+    """Read a grant; the error is of the kind bad_request."""
+    match = GRANT.fullmatch(text) if len(text) <= MAX_LENGTH else None
+    if match is None:
+        return malformed('grant')
+    return result.Ok(grant_of(match.groups()))
+
+
+def parse_request_id(text: str) -> result.Result[RequestId, errors.Failure]:
+    """Read a request id; the error is of the kind bad_request."""
+    match = REQUEST_ID.fullmatch(text) if len(text) <= MAX_LENGTH else None
+    if match is None:
+        return malformed('request id')
+    groups = match.groups()
+    return result.Ok(RequestId(grant_of(groups[1:6]), groups[6]))
+
+
+def grant_of(groups: tuple[str, ...]) -> Grant:
+    """Return the grant of its five parts."""
+    owner, owner_incarnation, backup, backup_incarnation, minute = groups
+    return Grant(
+        owner, owner_incarnation, backup, backup_incarnation, int(minute)
+    )
+
+
+def malformed(what: str) -> result.Err[errors.Failure]:
+    """Return the failure for a text of another form, which is not echoed."""
+    return result.Err(
+        errors.Failure(
+            errors.ErrorKind.BAD_REQUEST,
+            f'the {what} is not of the form that a look-up gives',
+        )
+    )
--- /dev/null
+++ b/filbertstep/_scrub.py
@@ -0,0 +1,273 @@
+"""What passes between callers and backend servers, and what must not.
+
+A backend server must never see a caller's key, wherever the caller put it.
+Headers pass by an allow-list.  A key found in an allowed header or cookie is
+removed with that header or cookie; one in the path, query or body cannot be
+removed without changing the request, so the request is refused.
+"""
+
+import collections.abc
+import functools
+import hashlib
+import re
+import typing
+
+import result
+
+from filbertstep import errors
+
+Headers = collections.abc.Sequence[tuple[str, str]]
+"""Names and values in the order in which they came."""
+
+# Keys are 256-bit random values; 22 characters of base64 hold 128 bits.  A
+# short key would match by chance in bodies.
+KEY: typing.Final = re.compile(r'[A-Za-z0-9._~+/=-]{22,256}')
+
+# Headers of requests that backend servers get.  Everything else may carry a
+# secret of the caller or of this system.
+REQUEST_ALLOWED: typing.Final = frozenset(
+    {
+        'accept',
+        'accept-charset',
+        'accept-encoding',
+        'accept-language',
+        'cache-control',
+        'content-language',
+        'content-type',
+        'cookie',
+        'if-match',
+        'if-modified-since',
+        'if-none-match',
+        'if-range',
+        'if-unmodified-since',
+        'origin',
+        'prefer',
+        'range',
+        'traceparent',
+        'tracestate',
+        'user-agent',
+    }
+)
+
+# Headers that hold for one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP: typing.Final = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+# Headers of answers that only this system may set, or that tell callers about
+# single backend servers.
+ANSWER_DENIED: typing.Final = frozenset(
+    {
+        'alt-svc',
+        'content-length',
+        'endpoint-load-metrics',
+        'endpoint-load-metrics-bin',
+        'server',
+        'x-deadline-ms',
+        'x-draining',
+        'x-error-kind',
+        'x-grant',
+        'x-not-run',
+        'x-ran',
+        'x-request-id',
+    }
+)
+
+
+class Credentials(typing.NamedTuple):
+    """A caller's key and its digest, or None for both without a key."""
+
+    key: str | None
+    digest: str | None
+
+    def __repr__(self) -> str:
+        """Return a text without the key, which must not appear in logs."""
+        return f'Credentials(key=..., digest={self.digest!r})'
+
+
+class Scrubbed(typing.NamedTuple):
+    """What may go to a backend server."""
+
+    headers: tuple[tuple[str, str], ...]
+
+
+def key_digest(key: str) -> str:
+    """Return the SHA-256 digest of a key in lower-case hex."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def extract_key(
+    headers: Headers,
+) -> result.Result[Credentials, errors.Failure]:
+    """Return the key of ``Authorization: Bearer`` or ``X-Api-Key``.
+
+    Failures: ``bad_request`` for two different keys, ``unauthorized`` for
+    credentials of another form.
+    """
+    found: set[str] = set()
+    for name, value in headers:
+        lowered = name.lower()
+        if lowered == 'authorization':
+            scheme, _, key = value.strip().partition(' ')
+            if scheme.lower() != 'bearer':
+                return unauthorized()
+            found.add(key.strip())
+        elif lowered == 'x-api-key':
+            found.add(value.strip())
+    if not found:
+        return result.Ok(Credentials(None, None))
+    if len(found) > 1:
+        return result.Err(
+            errors.Failure(
+                errors.ErrorKind.BAD_REQUEST, 'two different keys were sent'
+            )
+        )
+    key = found.pop()
+    if KEY.fullmatch(key) is None:
+        return unauthorized()
+    return result.Ok(Credentials(key, key_digest(key)))
+
+
+def unauthorized() -> result.Err[errors.Failure]:
+    """Return the failure for credentials that cannot be a key."""
+    return result.Err(
+        errors.Failure(
+            errors.ErrorKind.UNAUTHORIZED,
+            'a key is expected as a bearer token or in X-Api-Key',
+        )
+    )
+
+
+@functools.lru_cache(maxsize=1024)
+def key_pattern(key: str) -> re.Pattern[bytes]:
+    r"""Return a pattern for a key in which any character may be encoded.
+
+    Each character matches itself, its percent-encoding, also encoded again
+    (``%2541``), and its escape in JSON (``\u0041``, ``\/``).
+    """
+    parts = []
+    for character in key:
+        code = f'{ord(character):02x}'
+        forms = [
+            re.escape(character),
+            f'%(?:25)*{code}',
+            f'\\\\u00{code}',
+        ]
+        if character == '/':
+            forms.append(r'\\/')
+        # Hex digits may be upper or lower case, the key itself may not.
+        forms[1:3] = [f'(?i:{form})' for form in forms[1:3]]
+        parts.append(f'(?:{"|".join(forms)})')
+    return re.compile(''.join(parts).encode('ascii'))
+
+
+def holds_key(key: str, data: bytes) -> bool:
+    """Tell whether data contains a key, as it is or encoded."""
+    if key.encode('ascii') in data:
+        return True
+    # The plain search is several times faster, and most bodies have neither.
+    if b'%' not in data and b'\\' not in data:
+        return False
+    return key_pattern(key).search(data) is not None
+
+
+def scrub(
+    credentials: Credentials,
+    path: str,
+    query: str,
+    headers: Headers,
+    body: bytes,
+) -> result.Result[Scrubbed, errors.Failure]:
+    """Return the headers for the backend server, or refuse the request.
+
+    ``path`` and ``query`` are as they came, still encoded.  Failures:
+    ``key_in_request``; ``bad_request`` for a compressed body, in which a key
+    cannot be looked for.
+    """
+    if any(
+        name.lower() == 'content-encoding'
+        and value.strip().lower() not in ('', 'identity')
+        for name, value in headers
+    ):
+        return result.Err(
+            errors.Failure(
+                errors.ErrorKind.BAD_REQUEST,
+                'compressed request bodies are not accepted',
+            )
+        )
+    key = credentials.key
+    if key is not None:
+        places = {
+            'path': path.encode(errors='surrogateescape'),
+            'query': query.encode(errors='surrogateescape'),
+            'body': body,
+        }
+        for place, data in places.items():
+            if holds_key(key, data):
+                return result.Err(
+                    errors.Failure(
+                        errors.ErrorKind.KEY_IN_REQUEST,
+                        f'the {place} of the request contains the key',
+                    )
+                )
+    listed = connection_headers(headers)
+    passed = []
+    for name, value in headers:
+        lowered = name.lower()
+        if lowered not in REQUEST_ALLOWED or lowered in listed:
+            continue
+        kept: str | None = value
+        if key is not None:
+            kept = without_key(key, lowered, value)
+        if kept is not None:
+            passed.append((name, kept))
+    return result.Ok(Scrubbed(tuple(passed)))
+
+
+def without_key(key: str, name: str, value: str) -> str | None:
+    """Return a header's value without the key, or None to drop the header."""
+    if name != 'cookie':
+        return None if header_holds_key(key, value) else value
+    pairs = [
+        pair.strip()
+        for pair in value.split(';')
+        if pair.strip() and not header_holds_key(key, pair)
+    ]
+    kept = '; '.join(pairs)
+    if not kept or header_holds_key(key, kept):
+        return None
+    return kept
+
+
+def header_holds_key(key: str, value: str) -> bool:
+    """Tell whether a header's value contains a key."""
+    return holds_key(key, value.encode(errors='surrogateescape'))
+
+
+def connection_headers(headers: Headers) -> frozenset[str]:
+    """Return the names that ``Connection`` lists as hop-by-hop."""
+    return frozenset(
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == 'connection'
+        for token in value.split(',')
+        if token.strip()
+    )
+
+
+def answer_headers(headers: Headers) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a backend server's answer for the caller."""
+    dropped = HOP_BY_HOP | ANSWER_DENIED | connection_headers(headers)
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in dropped
+    )
--- /dev/null
+++ b/filbertstep/delivery.py
@@ -0,0 +1,31 @@
+"""Delivery: at-most-once ids, header rules, one try at a backend server."""
+
+from filbertstep._forward import Attempt as Attempt
+from filbertstep._forward import BrokenAnswerError as BrokenAnswerError
+from filbertstep._forward import Forwarder as Forwarder
+from filbertstep._forward import Outcome as Outcome
+from filbertstep._forward import OutcomeKind as OutcomeKind
+from filbertstep._intent_messages import INTENT_PATH as INTENT_PATH
+from filbertstep._intent_table import Event as Event
+from filbertstep._intent_table import IntentTable as IntentTable
+from filbertstep._intent_table import MAX_STORED_BODY as MAX_STORED_BODY
+from filbertstep._intent_table import Record as Record
+from filbertstep._intent_table import Reply as Reply
+from filbertstep._intent_table import State as State
+from filbertstep._intent_table import StoredAnswer as StoredAnswer
+from filbertstep._intent_table import TRANSITIONS as TRANSITIONS
+from filbertstep._intents import Begun as Begun
+from filbertstep._intents import IntentSystem as IntentSystem
+from filbertstep._request_ids import format_grant as format_grant
+from filbertstep._request_ids import format_request_id as format_request_id
+from filbertstep._request_ids import Grant as Grant
+from filbertstep._request_ids import minute_of as minute_of
+from filbertstep._request_ids import parse_grant as parse_grant
+from filbertstep._request_ids import parse_request_id as parse_request_id
+from filbertstep._request_ids import RequestId as RequestId
+from filbertstep._scrub import answer_headers as answer_headers
+from filbertstep._scrub import Credentials as Credentials
+from filbertstep._scrub import extract_key as extract_key
+from filbertstep._scrub import key_digest as key_digest
+from filbertstep._scrub import scrub as scrub
+from filbertstep._scrub import Scrubbed as Scrubbed
