--- a/filbertstep/_caller.py
+++ b/filbertstep/_caller.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import json
 import pathlib
 import random
@@ -21,6 +20,7 @@
 import fire
 import yarl
 
+from filbertstep import _caller_state
 from filbertstep import codec
 from filbertstep import errors
 from filbertstep import lookup
@@ -49,104 +49,6 @@
 OUTCOME_PATH: typing.Final = '/v1/outcome'
 
 
-class CallAnswer(typing.NamedTuple):
-    """The end of a request.
-
-    ``kind`` is None for an answer of the backend server.  ``ran`` covers all
-    tries: NO is certain.  ``status`` is 0 when no answer came at all.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    attempts: int
-    request_ids: tuple[str, ...]
-    kind: errors.ErrorKind | None
-    ran: errors.Ran
-
-
-class Request(typing.NamedTuple):
-    """What a caller wants."""
-
-    service: str
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    idempotent: bool
-
-
-class Reply(typing.NamedTuple):
-    """Answer to one try; ``status`` 0 when none came.
-
-    ``sent`` is False when the connection could not be made.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b''
-    sent: bool = True
-
-    def header(self, name: str) -> str | None:
-        """Return the value of a header."""
-        for found, value in self.headers:
-            if found.lower() == name:
-                return value
-        return None
-
-    def kind(self) -> errors.ErrorKind | None:
-        """Return the error kind that the system set."""
-        try:
-            return errors.ErrorKind(self.header('x-error-kind') or '')
-        except ValueError:
-            return None
-
-    def ran(self) -> errors.Ran:
-        """Return what this answer says of the request having run."""
-        if self.status == 0:
-            return errors.Ran.UNKNOWN if self.sent else errors.Ran.NO
-        kind = self.kind()
-        try:
-            return errors.Ran(self.header('x-ran') or '')
-        except ValueError:
-            if kind is None:
-                return errors.Ran.YES
-            return errors.ANSWERS[kind].ran
-
-    def retry(self) -> errors.Retry | None:
-        """Return the advice for a repeat, or None for a final answer."""
-        if self.status == 0:
-            return errors.Retry.OTHER_VM
-        kind = self.kind()
-        return None if kind is None else errors.ANSWERS[kind].retry
-
-    def retry_after_s(self) -> float:
-        """Return the time in seconds to wait at least."""
-        try:
-            return max(0.0, float(self.header('retry-after') or 0))
-        except ValueError:
-            return 0.0
-
-
-@dataclasses.dataclass
-class Progress:
-    """State of one request over its tries.
-
-    ``open_id`` tells that a try under the current id may still run, so that
-    another id could run the request twice.  ``grant`` came with ``not_run``.
-    """
-
-    request: Request
-    deadline: float
-    attempts: int = 0
-    ids: list[str] = dataclasses.field(default_factory=list)
-    request_id: str | None = None
-    open_id: bool = False
-    polling: bool = False
-    grant: str | None = None
-    last: Reply | None = None
-
-
 class CallerClient:
     """Calls services through the entry VMs that look-ups name."""
 
@@ -193,7 +95,7 @@
         body: bytes = b'',
         idempotent: bool | None = None,
         deadline_s: float | None = None,
-    ) -> CallAnswer:
+    ) -> _caller_state.CallAnswer:
         """Run a request; ``target`` is its path with an encoded query.
 
         Without ``idempotent`` the method decides, as for GET.  Never raises
@@ -201,18 +103,22 @@
         """
         if idempotent is None:
             idempotent = method in IDEMPOTENT_METHODS
-        request = Request(
+        request = _caller_state.Request(
             service, method, target, tuple(headers), body, idempotent
         )
         limit = self.deadline_s if deadline_s is None else deadline_s
-        progress = Progress(request, asyncio.get_running_loop().time() + limit)
+        progress = _caller_state.Progress(
+            request, asyncio.get_running_loop().time() + limit
+        )
         try:
             async with asyncio.timeout_at(progress.deadline):
                 return await self.run(progress)
         except TimeoutError:
-            return ended(progress)
+            return _caller_state.ended(progress)
 
-    async def run(self, progress: Progress) -> CallAnswer:
+    async def run(
+        self, progress: _caller_state.Progress
+    ) -> _caller_state.CallAnswer:
         """Try until an answer is final or the tries are used up."""
         backoff = FIRST_BACKOFF_S
         while progress.attempts < self.max_attempts:
@@ -221,12 +127,12 @@
             if vm is not None:
                 reply = await self.attempt(progress, vm)
                 if self.decide(progress, vm, reply):
-                    return ended(progress)
+                    return _caller_state.ended(progress)
             await asyncio.sleep(self.pause(progress, backoff))
             backoff = min(2 * backoff, LONGEST_BACKOFF_S)
-        return ended(progress)
+        return _caller_state.ended(progress)
 
-    def pause(self, progress: Progress, backoff: float) -> float:
+    def pause(self, progress: _caller_state.Progress, backoff: float) -> float:
         """Return seconds to wait before the next try."""
         last = progress.last
         if last is None:
@@ -238,8 +144,8 @@
         return last.retry_after_s() + self.random.uniform(0, backoff)
 
     async def attempt(
-        self, progress: Progress, vm: lookup.LookupVmDoc
-    ) -> Reply:
+        self, progress: _caller_state.Progress, vm: lookup.LookupVmDoc
+    ) -> _caller_state.Reply:
         """Send a request, or ask for its outcome, once."""
         progress.attempts += 1
         request = progress.request
@@ -264,14 +170,19 @@
             progress.open_id = before
         return reply
 
-    def new_id(self, progress: Progress, vm: lookup.LookupVmDoc) -> str:
+    def new_id(
+        self, progress: _caller_state.Progress, vm: lookup.LookupVmDoc
+    ) -> str:
         """Return a request id of a VM's grant."""
         grant = progress.grant or vm['grant']
         progress.grant = None
         return f'{grant}~{uuid.UUID(int=self.random.getrandbits(128))}'
 
     def decide(
-        self, progress: Progress, vm: lookup.LookupVmDoc, reply: Reply
+        self,
+        progress: _caller_state.Progress,
+        vm: lookup.LookupVmDoc,
+        reply: _caller_state.Reply,
     ) -> bool:
         """Note an answer; return whether it ends the request."""
         asked_outcome = progress.polling
@@ -315,7 +226,7 @@
         self.avoid[vm['url']] = loop.time() + AVOID_S
 
     def choose(
-        self, progress: Progress, vms: list[lookup.LookupVmDoc]
+        self, progress: _caller_state.Progress, vms: list[lookup.LookupVmDoc]
     ) -> lookup.LookupVmDoc | None:
         """Return the VM for the next try.
 
@@ -369,7 +280,7 @@
         headers: tuple[tuple[str, str], ...],
         body: bytes,
         timeout_s: float | None = None,
-    ) -> Reply:
+    ) -> _caller_state.Reply:
         """Send one HTTP request and read the whole answer."""
         if timeout_s is None:
             timeout_s = self.try_timeout_s
@@ -391,35 +302,14 @@
             ) as response:
                 content = await response.read()
                 pairs = tuple(response.headers.items())
-                return Reply(response.status, pairs, content)
+                return _caller_state.Reply(response.status, pairs, content)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ):
-            return Reply(0, sent=False)
+            return _caller_state.Reply(0, sent=False)
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return Reply(0)
-
-
-def ended(progress: Progress) -> CallAnswer:
-    """Return the answer of a request that is over."""
-    last = progress.last or Reply(0, sent=False)
-    kind, ran = last.kind(), last.ran()
-    if last.status == 0:
-        kind = errors.ErrorKind.DEADLINE_EXCEEDED
-    if progress.open_id and ran is errors.Ran.NO:
-        # An earlier try under this id has not been answered.
-        ran = errors.Ran.UNKNOWN
-        kind = kind or errors.ErrorKind.OUTCOME_UNKNOWN
-    return CallAnswer(
-        status=last.status,
-        headers=last.headers,
-        body=last.body,
-        attempts=progress.attempts,
-        request_ids=tuple(progress.ids),
-        kind=kind,
-        ran=ran,
-    )
+            return _caller_state.Reply(0)
 
 
 async def call_once(
@@ -430,7 +320,7 @@
     target: str,
     body: bytes,
     deadline_s: float,
-) -> CallAnswer:
+) -> _caller_state.CallAnswer:
     """Run one request with a client of its own."""
     async with CallerClient(lookup_urls, key) as client:
         return await client.call(
--- a/filbertstep/_intents.py
+++ b/filbertstep/_intents.py
@@ -30,21 +30,16 @@
 
 import result
 
+from filbertstep import _intent_backup
 from filbertstep import _intent_messages
+from filbertstep import _intent_owner
 from filbertstep import _intent_table
-from filbertstep import _owned
 from filbertstep import _request_ids
 from filbertstep import clock as clocks
-from filbertstep import codec
 from filbertstep import errors
 from filbertstep import systems
 from filbertstep import transport
 
-# Time limit in seconds of one call to the backup.  A round trip to another
-# region takes 24 ms; a caller with an order waits this long at most when the
-# backup just died.
-CALL_TIMEOUT_S: typing.Final = 0.5
-
 # Time in seconds for which a finish or a withdraw is repeated, and the
 # pauses between its tries.
 REPEAT_FOR_S: typing.Final = 60.0
@@ -79,106 +74,22 @@
         self.vm = vm
         self.incarnation = incarnation
         self.clock = clock
-        self.peers = peers
         self.sleep = sleep
-        self.table = _intent_table.IntentTable(max_records)
-        self.owned = _owned.OwnedTable(max_records)
-        self.background: set[asyncio.Task[None]] = set()
         self.counts: collections.Counter[str] = collections.Counter()
+        self.backup = _intent_backup.Backup(
+            vm, incarnation, clock, peers, max_records, self.counts
+        )
+        self.owned = _intent_owner.OwnedTable(max_records)
+        self.background: set[asyncio.Task[None]] = set()
 
     def tick(self, now: float) -> None:
         """Forget records past their lifetime."""
-        self.table.prune(now)
+        self.backup.table.prune(now)
         self.owned.prune(now)
 
     def handlers(self) -> dict[str, systems.Handler]:
         """Return the handler of the backup's side."""
-        return {_intent_messages.INTENT_PATH: self.handle}
-
-    async def handle(
-        self, message: transport.Message
-    ) -> result.Result[transport.Message, errors.Failure]:
-        """Answer a message of an owner or of a VM that was asked."""
-        checked = codec.convert(message, _intent_messages.IntentDoc)
-        if isinstance(checked, result.Err):
-            return _intent_messages.bad_request(checked.err_value)
-        doc = checked.ok_value
-        parsed = _request_ids.parse_request_id(doc['id'])
-        if isinstance(parsed, result.Err):
-            return parsed
-        answer = _intent_messages.answer_row(doc['answer'])
-        if isinstance(answer, result.Err):
-            return answer
-        applied = self.apply(
-            doc['event'],
-            (doc['account'], doc['id']),
-            parsed.ok_value.grant,
-            doc['digest'],
-            answer.ok_value,
-        )
-        if isinstance(applied, result.Err):
-            return applied
-        reply = _intent_messages.ReplyDoc(
-            reply=applied.ok_value.reply,
-            answer=_intent_messages.answer_doc(applied.ok_value.answer),
-        )
-        return result.Ok(dict(reply))
-
-    def apply(
-        self,
-        event: _intent_table.Event,
-        key: _intent_table.Key,
-        grant: _request_ids.Grant,
-        digest: str,
-        answer: _intent_table.StoredAnswer | None,
-    ) -> result.Result[_intent_table.Applied, errors.Failure]:
-        """Apply an event to this process's own records."""
-        self.counts[f'intent_{event.value}'] += 1
-        me = (self.vm, self.incarnation)
-        if (grant.backup, grant.backup_incarnation) != me:
-            expired = _intent_table.Applied(_intent_table.Reply.EXPIRED)
-            return result.Ok(expired)
-        return self.table.apply(
-            event, key, grant.minute, digest, self.clock.now(), answer
-        )
-
-    async def ask(
-        self,
-        event: _intent_table.Event,
-        key: _intent_table.Key,
-        grant: _request_ids.Grant,
-        digest: str,
-        answer: _intent_table.StoredAnswer | None = None,
-    ) -> result.Result[_intent_table.Applied, errors.Failure]:
-        """Tell or ask the backup of a grant, which may be this process."""
-        if grant.backup == self.vm:
-            return self.apply(event, key, grant, digest, answer)
-        message = _intent_messages.IntentDoc(
-            event=event,
-            account=key[0],
-            id=key[1],
-            digest=digest,
-            answer=_intent_messages.answer_doc(answer),
-        )
-        answered = await self.peers.call(
-            grant.backup,
-            _intent_messages.INTENT_PATH,
-            dict(message),
-            CALL_TIMEOUT_S,
-        )
-        if isinstance(answered, result.Err):
-            return answered
-        checked = codec.convert(answered.ok_value, _intent_messages.ReplyDoc)
-        if isinstance(checked, result.Err):
-            return _intent_messages.unknown(
-                f'reply of the backup: {checked.err_value}'
-            )
-        stored = _intent_messages.answer_row(checked.ok_value['answer'])
-        if isinstance(stored, result.Err):
-            return stored
-        return result.Ok(
-            _intent_table.Applied(checked.ok_value['reply'], stored.ok_value)
-        )
+        return {_intent_messages.INTENT_PATH: self.backup.handle}
 
     def owns(self, grant: _request_ids.Grant) -> bool:
         """Tell whether this process may run ids of a grant."""
@@ -213,11 +124,11 @@
         return await self.intend(key, added.ok_value)
 
     async def intend(
-        self, key: _intent_table.Key, own: _owned.Owned
+        self, key: _intent_table.Key, own: _intent_owner.Owned
     ) -> result.Result[Begun, errors.Failure]:
         """Have the backup record a new id; without its word nothing runs."""
         try:
-            applied = await self.ask(
+            applied = await self.backup.ask(
                 _intent_table.Event.INTEND, key, own.grant, own.digest
             )
         except BaseException:
@@ -226,7 +137,7 @@
         if isinstance(applied, result.Err):
             return self.intend_failed(key, own, applied.err_value)
         if applied.ok_value.reply is _intent_table.Reply.GO:
-            own.phase = _owned.Phase.GO
+            own.phase = _intent_owner.Phase.GO
             own.had_go = True
             return result.Ok(Begun(True))
         return self.intend_refused(key, own, applied.ok_value)
@@ -234,7 +145,7 @@
     def intend_refused(
         self,
         key: _intent_table.Key,
-        own: _owned.Owned,
+        own: _intent_owner.Owned,
         applied: _intent_table.Applied,
     ) -> result.Result[Begun, errors.Failure]:
         """Settle an id that the backup did not let run."""
@@ -261,7 +172,7 @@
     def intend_failed(
         self,
         key: _intent_table.Key,
-        own: _owned.Owned,
+        own: _intent_owner.Owned,
         failure: errors.Failure,
     ) -> result.Result[Begun, errors.Failure]:
         """Settle an id whose intent got no reply."""
@@ -278,7 +189,7 @@
             'the backup of the request id does not answer'
         )
 
-    def refuse(self, key: _intent_table.Key, own: _owned.Owned) -> None:
+    def refuse(self, key: _intent_table.Key, own: _intent_owner.Owned) -> None:
         """Never run an id, and tell the backup."""
         own.settle(_intent_messages.not_run('the request was not sent'))
         self.counts['intent_refused'] += 1
@@ -319,12 +230,12 @@
         self,
         event: _intent_table.Event,
         key: _intent_table.Key,
-        own: _owned.Owned,
+        own: _intent_owner.Owned,
         answer: _intent_table.StoredAnswer | None,
     ) -> None:
         """Tell the backup, repeatedly in the background if need be."""
         if own.grant.backup == self.vm:
-            self.apply(event, key, own.grant, own.digest, answer)
+            self.backup.apply(event, key, own.grant, own.digest, answer)
             return
         task = asyncio.get_running_loop().create_task(
             self.repeat(event, key, own, answer)
@@ -336,14 +247,16 @@
         self,
         event: _intent_table.Event,
         key: _intent_table.Key,
-        own: _owned.Owned,
+        own: _intent_owner.Owned,
         answer: _intent_table.StoredAnswer | None,
     ) -> None:
         """Repeat a message until the backup acknowledges it."""
         until = self.clock.now() + REPEAT_FOR_S
         pause = FIRST_PAUSE_S
         while True:
-            applied = await self.ask(event, key, own.grant, own.digest, answer)
+            applied = await self.backup.ask(
+                event, key, own.grant, own.digest, answer
+            )
             if isinstance(applied, result.Ok):
                 self.counts[f'intent_{applied.ok_value.reply.value}'] += 1
                 return
@@ -378,7 +291,7 @@
         waited = 0.0
         while True:
             outcome, final = self.resolved(
-                await self.ask(
+                await self.backup.ask(
                     _intent_table.Event.RESOLVE,
                     key,
                     parsed.ok_value.grant,
@@ -415,7 +328,7 @@
         ), expired
 
     async def join(
-        self, own: _owned.Owned, digest: str, wait_s: float
+        self, own: _intent_owner.Owned, digest: str, wait_s: float
     ) -> _intent_messages.Outcome:
         """Wait for the outcome of an id that this process owns."""
         if digest and own.digest and digest != own.digest:
