--- a/filbertstep/_history.py
+++ b/filbertstep/_history.py
@@ -158,11 +158,26 @@
     """Event of whoever plays the operator.
 
     ``event`` is one of ticket_submitted, ticket_committed, ticket_accepted
-    and ticket_refused; ``kind`` is the error kind of the last.
+    and ticket_refused; ``kind`` is the error kind of the last.  The other
+    fields belong to ticket_submitted: names of withdrawn keys, drains that
+    begin as (name, target kind, target), names of drains that end.
     """
 
     number: int
     kind: str
+    withdrawn_keys: typing.NotRequired[list[str]]
+    drains: typing.NotRequired[list[tuple[str, str, str]]]
+    ended_drains: typing.NotRequired[list[str]]
+
+
+class OperatorEvent(Event):
+    """What the operator or a test did to a process.
+
+    ``event`` is one of stop_began, stop_ended (planned stops), killed,
+    frozen and thawed.
+    """
+
+    name: str
 
 
 class StoreEvent(Event):
--- /dev/null
+++ b/filbertstep/_processes.py
@@ -0,0 +1,126 @@
+"""Processes of a deployment under test: start, signal and end them by id."""
+
+import atexit
+import collections.abc
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess  # noqa: S404
+import sys
+import time
+import typing
+
+PACKAGE_PARENT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
+
+# Ports from below the range from which Linux takes those of outgoing
+# connections, so that none is taken between its choice and its use.
+FIRST_PORT: typing.Final = 20_000
+LAST_PORT: typing.Final = 32_000
+
+# Time in seconds that a process gets to end before it is killed.
+END_TIMEOUT_S: typing.Final = 10.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports on which nothing listens, different ones each call."""
+    source = random.SystemRandom()
+    found: list[int] = []
+    while len(found) < count:
+        port = source.randrange(FIRST_PORT, LAST_PORT)
+        if port not in found and is_free(port):
+            found.append(port)
+    return found
+
+
+def is_free(port: int) -> bool:
+    """Tell whether a port of the loopback address can be bound."""
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
+
+
+class Processes:
+    """Processes by name; every one is ended by ``close`` or at exit."""
+
+    def __init__(self, log_directory: pathlib.Path) -> None:
+        self.log_directory = log_directory
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        log_directory.mkdir(parents=True, exist_ok=True)
+        atexit.register(self.kill_all)
+
+    def start(self, name: str, arguments: list[str]) -> None:
+        """Start ``python -m ...`` with its output in a log file."""
+        if self.is_running(name):
+            raise ValueError(f'{name} is running')
+        paths = [str(PACKAGE_PARENT)]
+        if os.environ.get('PYTHONPATH'):
+            paths.append(os.environ['PYTHONPATH'])
+        log_path = self.log_directory / f'{name}.log'
+        with log_path.open('ab') as log:
+            self.running[name] = subprocess.Popen(  # noqa: S603
+                [sys.executable, '-m', *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'PYTHONPATH': os.pathsep.join(paths)},
+            )
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process was started and has not ended."""
+        process = self.running.get(name)
+        return process is not None and process.poll() is None
+
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self.running[name].pid
+
+    def status(self, name: str) -> int | None:
+        """Return the exit status of a process, None while it runs."""
+        return self.running[name].poll()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process, if it has not ended."""
+        if self.is_running(name):
+            self.running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait until it is gone."""
+        self.signal(name, signal.SIGKILL)
+        self.running[name].wait()
+
+    def kill_all(self) -> None:
+        """Kill whatever still runs."""
+        for name in list(self.running):
+            self.kill(name)
+
+    def end(self, names: collections.abc.Iterable[str]) -> None:
+        """End processes; one that takes too long is killed."""
+        chosen = [name for name in names if self.is_running(name)]
+        for name in chosen:
+            # A stopped process would not see SIGTERM.
+            self.signal(name, signal.SIGCONT)
+            self.signal(name, signal.SIGTERM)
+        end = time.monotonic() + END_TIMEOUT_S
+        for name in chosen:
+            try:
+                self.running[name].wait(max(0.0, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                self.kill(name)
+
+    def log_tail(self, name: str, lines: int = 20) -> str:
+        """Return the last lines of a process's output."""
+        path = self.log_directory / f'{name}.log'
+        if not path.exists():
+            return ''
+        text = path.read_text(encoding='utf-8', errors='replace')
+        return '\n'.join(text.splitlines()[-lines:])
+
+    def close(self) -> None:
+        """Kill what still runs and forget all processes."""
+        self.kill_all()
+        atexit.unregister(self.kill_all)
--- a/filbertstep/_standin_backend.py
+++ b/filbertstep/_standin_backend.py
@@ -23,13 +23,17 @@
 
 
 class ServerDoc(typing.TypedDict):
-    """A backend server of a spec file."""
+    """A backend server of a spec file.
+
+    ``overrides`` are fields of ``ServerFaults`` that it starts with.
+    """
 
     name: str
     service: str
     region: str
     host: str
     port: int
+    overrides: typing.NotRequired[dict[str, typing.Any]]
 
 
 class ServerFaults(typing.TypedDict):
--- a/filbertstep/_standin_fleet.py
+++ b/filbertstep/_standin_fleet.py
@@ -47,6 +47,7 @@
             self.history,
             lambda: self.crash(name),
         )
+        server.control(doc.get('overrides', {})).unwrap()
         server.runner = await _standin_common.listen(
             server.app(), doc['host'], doc['port']
         )
