--- a/filbertstep/_agreement.py
+++ b/filbertstep/_agreement.py
@@ -90,9 +90,7 @@
             self.learner,
             lambda vm: self.members.reach(vm, time_source.now()),
         )
-        self.ticket_book = _ticket_book.TicketBook(
-            time_source, self.committer
-        )
+        self.ticket_book = _ticket_book.TicketBook(time_source, self.committer)
         self.heartbeats = _heartbeat.Heartbeats(
             time_source,
             self.evidence,
@@ -126,6 +124,10 @@
             _commit.PROMISE_PATH: self.committer.answer_promise,
         }
 
+    def add_part(self, part: systems.HeartbeatPart) -> None:
+        """Include another system's part in the heartbeats."""
+        self.heartbeats.parts[part.part_name] = part
+
     async def start(self) -> None:
         """Start the loops that follow the store and the platform's list."""
         self.tasks.start('store', self.follow_store)
--- a/filbertstep/_commit.py
+++ b/filbertstep/_commit.py
@@ -240,9 +240,7 @@
         decoded = codec.convert(message, _promises.PromiseDoc)
         if isinstance(decoded, result.Err):
             return result.Err(
-                errors.Failure(
-                    errors.ErrorKind.BAD_REQUEST, decoded.err_value
-                )
+                errors.Failure(errors.ErrorKind.BAD_REQUEST, decoded.err_value)
             )
         proposal = _promises.proposal_row(decoded.ok_value['proposal'])
         answer = self.book.promise(proposal, self.clock.now())
--- /dev/null
+++ b/filbertstep/_node.py
@@ -0,0 +1,452 @@
+"""The daemon of an entry VM: builds the systems and runs them.
+
+Every VM takes every duty.  The node owns no table; it builds the systems,
+ticks them in a fixed order, and walks through the states joining, serving,
+draining and leaving.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import gc
+import random
+import secrets
+import signal
+import ssl
+import sys
+import typing
+
+import aiohttp
+from aiohttp import web
+import fire
+import logbook
+import result
+import uvloop
+
+import filbertstep
+from filbertstep import _admission
+from filbertstep import _callers
+from filbertstep import _exchange
+from filbertstep import _http_peers
+from filbertstep import _operators
+from filbertstep import _peer_server
+from filbertstep import _recorder
+from filbertstep import _tries
+from filbertstep import _web
+from filbertstep import agreement
+from filbertstep import burn
+from filbertstep import checking
+from filbertstep import clock
+from filbertstep import config
+from filbertstep import delivery
+from filbertstep import logs
+from filbertstep import lookup
+from filbertstep import metrics
+from filbertstep import routing
+from filbertstep import settings
+from filbertstep import sharing
+from filbertstep import store
+from filbertstep import systems
+
+LOGGER = logbook.Logger('node')
+
+# After the look-up hold time callers know that this VM stops; the rest is for
+# requests on their way.
+MOVED_AFTER_S: typing.Final = lookup.HOLD_S + 1.0
+
+# Time in seconds for messages to peers at the end of a graceful shutdown.
+LEAVE_MESSAGES_S: typing.Final = 2.0
+
+# Exit codes.
+EXIT_OK: typing.Final = 0
+EXIT_SETTINGS: typing.Final = 2
+EXIT_CUT: typing.Final = 3
+
+
+class Node:
+    """One running entry VM."""
+
+    def __init__(
+        self,
+        options: settings.NodeSettings,
+        session: aiohttp.ClientSession,
+        rng: random.Random,
+    ) -> None:
+        self.options = options
+        self.session = session
+        self.incarnation = secrets.token_hex(6)
+        self.ticks = clock.SystemClock()
+        self.counters = metrics.Metrics()
+        self.views = config.ViewTable()
+        self.writer = checking.Writer(
+            options.history_file, options.vm, self.incarnation
+        )
+        self.recorder = _recorder.Recorder(self.writer)
+        self.build_agreement(rng)
+        self.build_sharing(rng)
+        self.build_routing(rng)
+        self.build_delivery()
+        self.build_listeners()
+        self.runners: list[web.AppRunner] = []
+        self.recorded_index = 0
+        self.recorded_state = ''
+
+    def build_agreement(self, rng: random.Random) -> None:
+        """Build what tells whether this VM may act, and on what."""
+        options = self.options
+        tls: ssl.SSLContext | None = None
+        if options.ca_file is not None:
+            tls = ssl.create_default_context(cafile=options.ca_file)
+        self.peers = _http_peers.HttpPeers(
+            self.session,
+            options.peer_token,
+            lambda vm: self.agree.address(vm),
+            tls,
+            self.counters,
+        )
+        self.agree = agreement.Agreement(
+            agreement.Identity(
+                options.vm,
+                self.incarnation,
+                options.region,
+                options.availability_zone,
+                options.callers.url,
+                options.peers.url,
+            ),
+            self.ticks,
+            store.ConsulStore(options.store_url, self.session),
+            agreement.ConsulVmList(
+                options.vm_list_url, options.vm, self.session
+            ),
+            self.peers,
+            self.views,
+            (),
+            lambda: self.burden(),
+            rng,
+        )
+
+    def build_sharing(self, rng: random.Random) -> None:
+        """Build what the VMs share out among themselves."""
+        neighbours = (
+            self.options.vm,
+            self.incarnation,
+            self.ticks,
+            self.views,
+            self.agree,
+            self.agree,
+            self.peers,
+            rng,
+        )
+        self.shares = sharing.ShareSystem(*neighbours)
+        self.slots = sharing.SlotSystem(*neighbours)
+
+    def build_routing(self, rng: random.Random) -> None:
+        """Build what decides where a request goes."""
+        options = self.options
+        health = routing.HealthTable()
+        fleet = routing.Fleet(self.views, health)
+        self.health = routing.HealthSystem(
+            health,
+            self.views,
+            routing.HttpProber(self.session),
+            self.ticks,
+            options.region,
+            rng,
+        )
+        self.shift = routing.ShiftSystem(self.views, fleet, options.region)
+        self.quarantine = routing.QuarantineSystem(
+            options.vm, self.incarnation
+        )
+        self.dispatcher = routing.Dispatcher(
+            routing.Neighbours(
+                self.views, self.slots, self.shares, health, self.shift
+            ),
+            self.ticks,
+            options.region,
+            options.availability_zone,
+            rng,
+        )
+
+    def build_delivery(self) -> None:
+        """Build what carries a request out."""
+        options = self.options
+        self.intents = delivery.IntentSystem(
+            options.vm, self.incarnation, self.ticks, self.peers
+        )
+        self.forwarder = delivery.Forwarder()
+        self.lookups = lookup.LookupSystem(
+            lookup.Identity(
+                options.vm,
+                self.incarnation,
+                options.region,
+                options.availability_zone,
+                options.callers.url,
+            ),
+            self.ticks,
+            self.views,
+            self.agree,
+            self.agree,
+        )
+        self.admission = _admission.Admission(self.views)
+        tries = _tries.Tries(
+            self.admission,
+            self.dispatcher,
+            self.intents,
+            self.forwarder,
+            self.quarantine,
+            self.agree,
+            self.ticks,
+            self.counters,
+            self.recorder,
+        )
+        self.exchange = _exchange.Exchange(
+            tries,
+            self.shares,
+            self.intents,
+            self.agree,
+            self.quarantine,
+            self.ticks,
+        )
+
+    def build_listeners(self) -> None:
+        """Build the applications of the three listeners."""
+        self.burn_table = burn.BurnTable(self.ticks.now())
+        self.callers = _callers.Callers(
+            self.admission,
+            self.exchange,
+            self.lookups,
+            self.agree,
+            self.forwarder,
+            self.ticks,
+            self.counters,
+            self.burn_table,
+            self.recorder,
+            self.options.region,
+        )
+        self.operators = _operators.Operators(
+            self.options.vm,
+            self.agree,
+            self.views,
+            self.burn_table,
+            self.peers,
+            self.ticks,
+            self.counters,
+            self.status,
+        )
+        parts: list[systems.HeartbeatPart] = [
+            self.shares,
+            self.slots,
+            self.shift,
+            self.quarantine,
+        ]
+        for part in parts:
+            self.agree.add_part(part)
+        # Agreement first: what follows acts on the views it learned.
+        self.systems: list[systems.System] = [
+            self.agree,
+            self.shares,
+            self.slots,
+            self.health,
+            self.shift,
+            self.quarantine,
+            self.dispatcher,
+            self.intents,
+            self.lookups,
+        ]
+
+    def handlers(self) -> dict[str, systems.Handler]:
+        """Return the peers' paths of all systems."""
+        found = dict(self.operators.handlers())
+        for system in self.systems:
+            found.update(system.handlers())
+        return found
+
+    def burden(self) -> float:
+        """Return the part of this VM's slots that is in use."""
+        now = self.ticks.now()
+        view = self.views.newest
+        if view is None:
+            return 0.0
+        running = len(self.dispatcher.running)
+        idle = sum(
+            sum(self.slots.idle(name, self.options.region, now).values())
+            for name in view.config.services
+        )
+        return running / (running + idle) if running + idle else 0.0
+
+    def tick(self) -> None:
+        """Run all systems once."""
+        now = self.ticks.now()
+        for system in self.systems:
+            system.tick(now)
+        self.callers.tick(now)
+        self.lookups.burden = self.burden()
+        # A VM that restarts while the store is down is no member of the epoch
+        # but may serve with what its peers lend it.
+        if self.agree.state == 'joining' and self.agree.fresh(now):
+            self.agree.state = 'serving'
+        self.note_changes(now)
+
+    def note_changes(self, now: float) -> None:
+        """Update gauges and record changes of state."""
+        fresh = self.agree.fresh(now)
+        self.counters.evidence_age.set(self.agree.age(now) if fresh else -1)
+        self.counters.head_index.set(self.views.index())
+        for name, queue in self.dispatcher.queues.items():
+            self.counters.queued.labels(name).set(len(queue))
+        newest = self.views.newest
+        if newest is not None and newest.head_index != self.recorded_index:
+            self.recorded_index = newest.head_index
+            self.recorder.config_applied(
+                newest.head_index, newest.head['ticket']
+            )
+        if self.agree.state != self.recorded_state:
+            self.recorded_state = self.agree.state
+            self.lookups.state = self.agree.state
+            self.recorder.state(self.agree.state)
+            logs.state_change(LOGGER, 'node_state', state=self.agree.state)
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return what operators see of this VM and through it."""
+        now = self.ticks.now()
+        newest = self.views.newest
+        # Permissions of a new configuration hold when no former one does.
+        ready = (
+            newest is not None
+            and newest.head['ticket'] > 0
+            and len(self.views.in_force(now)) == 1
+            and self.agree.state == 'serving'
+            and self.agree.fresh(now)
+        )
+        return {
+            **self.agree.status(),
+            'ready': ready,
+            'services': self.dispatcher.status(now),
+            'backend_servers': {
+                name: {
+                    'service': row.server.service,
+                    'region': row.server.region,
+                    'state': row.state.value,
+                    'in_use': self.slots.in_use(name),
+                }
+                for name, row in sorted(self.health.table.rows.items())
+            },
+        }
+
+    async def start(self) -> None:
+        """Bind the listeners and start the loops."""
+        options = self.options
+        callers = self.callers.application()
+        peers = _peer_server.PeerServer(self.handlers())
+        operators = self.operators.application(options.operator_tokens)
+        # The peers' listener binds first: its port being free shows that the
+        # former process of this VM is gone.
+        for app, listener, limits in (
+            (peers.application(options.peer_token), options.peers, None),
+            (operators, options.operators, None),
+            (callers, options.callers, _callers.handler_arguments()),
+        ):
+            self.runners.append(
+                await _web.listen(
+                    app, listener, options.stop_timeout_s, limits
+                )
+            )
+        await self.agree.start()
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Tick until asked to stop."""
+        while not stop.is_set():
+            self.tick()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(stop.wait(), systems.TICK_S)
+
+    async def drain(self) -> bool:
+        """Stop gracefully; return whether no request was cut."""
+        self.agree.state = 'draining'
+        ticking = asyncio.get_running_loop().create_task(self.keep_ticking())
+        await asyncio.sleep(MOVED_AFTER_S)
+        self.callers.moved = True
+        idle = await _callers.until_idle(
+            self.callers, self.options.stop_timeout_s
+        )
+        await self.shares.hand_over()
+        await self.slots.hand_over()
+        await self.intents.flush(LEAVE_MESSAGES_S)
+        await self.agree.leave()
+        ticking.cancel()
+        return idle
+
+    async def keep_ticking(self) -> None:
+        """Tick while the node drains."""
+        while True:
+            self.tick()
+            await asyncio.sleep(systems.TICK_S)
+
+    async def close(self) -> None:
+        """Close listeners and connections."""
+        for runner in reversed(self.runners):
+            await runner.cleanup()
+        await self.agree.stop()
+        await self.health.close()
+        await self.forwarder.close()
+        self.writer.close()
+
+
+async def serve(options: settings.NodeSettings) -> int:
+    """Run a node until SIGTERM or SIGINT; return the exit code."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, stop.set)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    ) as session:
+        node = Node(options, session, random.Random(secrets.randbits(64)))
+        try:
+            await node.start()
+            # Objects of the start live as long as the process; collecting
+            # them again and again costs several milliseconds each time.
+            gc.freeze()
+            await node.run(stop)
+            idle = await node.drain()
+        finally:
+            await node.close()
+    logs.state_change(LOGGER, 'node_stopped', cut=not idle)
+    return EXIT_OK if idle else EXIT_CUT
+
+
+def node_command(
+    settings_path: str, check_settings: bool = False
+) -> collections.abc.Callable[[], int]:
+    """Return what to run for checked settings; exits on wrong ones."""
+    loaded = settings.load(settings_path)
+    if isinstance(loaded, result.Err):
+        print(f'filbertstep-node: {loaded.err_value}', file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    options = loaded.ok_value
+    if check_settings:
+        return lambda: EXIT_OK
+    logs.setup(options.log_level)
+    return lambda: uvloop.run(serve(options))
+
+
+def command(settings: str, check_settings: bool = False) -> None:
+    """Run the node of an entry VM.
+
+    Args:
+        settings: path of the settings file, JSON with comments.
+        check_settings: only check the settings; exit code 2 if wrong.
+    """
+    sys.exit(node_command(settings, check_settings)())
+
+
+def main() -> None:
+    """Run the ``filbertstep-node`` command."""
+    arguments = ['--' + item[2:].replace('-', '_', 1)
+                 if item == '--check-settings' else item
+                 for item in sys.argv[1:]]  # fmt: skip
+    if '--version' in arguments:
+        print(filbertstep.__version__)
+        return
+    fire.Fire(command, command=arguments, name='filbertstep-node')
--- a/filbertstep/_operators.py
+++ b/filbertstep/_operators.py
@@ -89,7 +89,7 @@
         return _web.json_response(
             {
                 'newest': 0 if newest is None else newest.head['ticket'],
-                'tickets': self.agree.tickets(),
+                'tickets': [row._asdict() for row in self.agree.tickets()],
             }
         )
 
@@ -106,7 +106,7 @@
         submitted = await self.agree.submit(raw)
         if isinstance(submitted, result.Err):
             return _web.error_response(submitted.err_value)
-        return _web.json_response(submitted.ok_value)
+        return _web.json_response(submitted.ok_value._asdict())
 
     async def get_ticket(self, request: web.Request) -> web.Response:
         """Answer with the state of one ticket."""
@@ -119,9 +119,9 @@
                 )
             )
         status = self.agree.ticket_status(int(text))
-        if isinstance(status, result.Err):
-            return _web.error_response(status.err_value)
-        return _web.json_response(status.ok_value)
+        if status is None:
+            return not_found(f'there is no ticket {text}')
+        return _web.json_response(status._asdict())
 
     async def get_config(self, request: web.Request) -> web.Response:
         """Answer with the documents of all, one kind, or one entity."""
--- a/filbertstep/_recorder.py
+++ b/filbertstep/_recorder.py
@@ -30,9 +30,7 @@
             account=admitted.account,
         )
 
-    def placed(
-        self, job: '_tries.Job', placement: routing.Placement
-    ) -> None:
+    def placed(self, job: '_tries.Job', placement: routing.Placement) -> None:
         """Record the region that a request was placed in."""
         self.writer.write(
             'placed',
--- a/filbertstep/_tries.py
+++ b/filbertstep/_tries.py
@@ -162,7 +162,9 @@
     async def try_once(self, progress: Progress) -> Ended | None:
         """Do one try; None when another one may follow."""
         job = progress.job
-        assigned = await self.dispatcher.assign(self.dispatch_request(progress))
+        assigned = await self.dispatcher.assign(
+            self.dispatch_request(progress)
+        )
         if isinstance(assigned, result.Err):
             return await self.not_run(progress, assigned.err_value)
         assignment = assigned.ok_value
@@ -186,9 +188,7 @@
         """Return what the dispatcher needs to know about a request."""
         job = progress.job
         admitted = job.admitted
-        mark = routing.fingerprint(
-            admitted.account, job.request_id, '', b''
-        )
+        mark = routing.fingerprint(admitted.account, job.request_id, '', b'')
         return routing.DispatchRequest(
             service=admitted.service,
             client_account=admitted.account,
--- a/filbertstep/_web.py
+++ b/filbertstep/_web.py
@@ -130,9 +130,9 @@
     app: web.Application,
     listener: settings.Listener,
     stop_timeout_s: float,
-    limits: collections.abc.Mapping[str, int] | None = None,
+    limits: collections.abc.Mapping[str, typing.Any] | None = None,
 ) -> web.AppRunner:
-    """Start serving an application on a listener."""
+    """Start serving; ``limits`` are those of aiohttp's request parser."""
     runner = web.AppRunner(
         app,
         **(limits or {}),
--- a/filbertstep/delivery.py
+++ b/filbertstep/delivery.py
@@ -8,6 +8,7 @@
 from filbertstep._intent_messages import INTENT_PATH as INTENT_PATH
 from filbertstep._intent_table import Event as Event
 from filbertstep._intent_table import IntentTable as IntentTable
+from filbertstep._intent_table import MAX_AGE_MINUTES as MAX_AGE_MINUTES
 from filbertstep._intent_table import MAX_STORED_BODY as MAX_STORED_BODY
 from filbertstep._intent_table import Record as Record
 from filbertstep._intent_table import Reply as Reply
