--- a/filbertstep/_deployment.py
+++ b/filbertstep/_deployment.py
@@ -13,6 +13,8 @@
 import typing
 
 from filbertstep import _calls
+from filbertstep import _facts
+from filbertstep import _history
 from filbertstep import _plan
 from filbertstep import _standin_set
 from filbertstep import config
@@ -228,6 +230,19 @@
 
         await self.wait_for(ready, self.options.ready_timeout_s, f'{vm} ready')
 
+    def facts(self) -> _facts.Facts:
+        """Return the facts of the first ticket and of the history so far."""
+        documents = _plan.documents(self.first_ticket())
+        regions = {vm.name: vm.region for vm in self.vms.values()}
+        return _facts.with_history(
+            _facts.from_config(config.build(documents), regions),
+            self.events(),
+        )
+
+    def events(self) -> list[_history.AnyEvent]:
+        """Return the merged history so far."""
+        return _history.read(self.directory / 'history')
+
     def first_ticket(self) -> _plan.Ticket:
         """Return the ticket that configures the deployment."""
         return _plan.first_ticket(self.plan, self.addresses, self.keys)
@@ -298,20 +313,25 @@
 def ticket_effects(ticket: _plan.Ticket) -> Fields:
     """Return what the checkers need to know of a ticket's changes.
 
-    ``drains`` lists (name, target kind, target) of drains that begin.
+    ``issued_keys`` lists (name, client account), ``drains`` (name,
+    target kind, target) of drains that begin.
     """
     withdrawn: list[str] = []
+    issued: list[tuple[str, str]] = []
     drains: list[tuple[str, str, str]] = []
     ended: list[str] = []
     for one in ticket['changes']:
         if one['kind'] == config.Kind.KEY and one['state'] is None:
             withdrawn.append(one['name'])
+        elif one['kind'] == config.Kind.KEY and one['state'] is not None:
+            issued.append((one['name'], one['state']['client_account']))
         if one['kind'] == config.Kind.DRAIN and one['state'] is None:
             ended.append(one['name'])
         elif one['kind'] == config.Kind.DRAIN and one['state'] is not None:
             state = one['state']
             drains.append((one['name'], state['target_kind'], state['target']))
     return {
+        'issued_keys': issued,
         'withdrawn_keys': withdrawn,
         'drains': drains,
         'ended_drains': ended,
--- a/filbertstep/_history.py
+++ b/filbertstep/_history.py
@@ -159,12 +159,14 @@
 
     ``event`` is one of ticket_submitted, ticket_committed, ticket_accepted
     and ticket_refused; ``kind`` is the error kind of the last.  The other
-    fields belong to ticket_submitted: names of withdrawn keys, drains that
-    begin as (name, target kind, target), names of drains that end.
+    fields belong to ticket_submitted: issued keys as (name, client account),
+    names of withdrawn keys, drains that begin as (name, target kind, target)
+    and names of drains that end.
     """
 
     number: int
     kind: str
+    issued_keys: typing.NotRequired[list[tuple[str, str]]]
     withdrawn_keys: typing.NotRequired[list[str]]
     drains: typing.NotRequired[list[tuple[str, str, str]]]
     ended_drains: typing.NotRequired[list[str]]
--- a/filbertstep/_plan.py
+++ b/filbertstep/_plan.py
@@ -25,6 +25,10 @@
 LINK_SHARE: typing.Final = 0.8
 LINK_BURST_S: typing.Final = 0.1
 
+# First port and seed of the keys of the tickets kept in the examples.
+EXAMPLE_PORT: typing.Final = 21_000
+EXAMPLE_SEED: typing.Final = 1
+
 Names = dict[str, typing.Any]
 
 
@@ -320,3 +324,12 @@
         if one['state'] is not None:
             found[config.Kind(one['kind'])][one['name']] = one['state']
     return found
+
+
+def example_ticket(plan: Plan) -> Ticket:
+    """Return the first ticket as kept in ``examples/NAME/ticket-1.json``."""
+    addresses = {
+        server.name: f'127.0.0.1:{EXAMPLE_PORT + position}'
+        for position, server in enumerate(servers(plan))
+    }
+    return first_ticket(plan, addresses, keys(plan, EXAMPLE_SEED))
--- /dev/null
+++ b/filbertstep/_summary.py
@@ -0,0 +1,219 @@
+"""Figures of a history: outcomes, latencies, cuts, refusals, fairness."""
+
+import collections
+import collections.abc
+import math
+import typing
+
+from filbertstep import _facts
+from filbertstep import _history
+from filbertstep import _violations
+
+# Kinds of refusals that a client account inside its rate should not see.
+# Others follow from what the request itself is.
+WRONGFUL_KINDS: typing.Final = frozenset(
+    {
+        'over_rate',
+        'overloaded',
+        'no_room',
+        'shift_cap',
+        'no_fresh_config',
+        'moved',
+        'no_quorum',
+        'store_unavailable',
+        'not_run',
+    }
+)
+
+
+class Percentiles(typing.TypedDict):
+    """Latencies of useful answers in seconds, 0 when there are none."""
+
+    p50: float
+    p90: float
+    p99: float
+
+
+class Figures(typing.TypedDict):
+    """Figures of some requests; resends of one request count once.
+
+    ``outcomes`` counts last answers: ``ok``, an error kind or ``no_answer``.
+    """
+
+    requests: int
+    outcomes: dict[str, int]
+    latency_s: Percentiles
+    doubled: int
+    lost: int
+    refused_inside_rate: int
+    inside_rate: int
+    cut: int
+
+
+class AccountService(typing.NamedTuple):
+    """How an account was served, relative to what it was entitled to."""
+
+    account: str
+    share: float
+
+
+class Summary(typing.TypedDict):
+    """Figures of a whole history and of its parts."""
+
+    total: Figures
+    by_service: dict[str, Figures]
+    by_account: dict[str, Figures]
+    worst_served: AccountService | None
+
+
+class Order(typing.NamedTuple):
+    """One request with all its tries.
+
+    ``answer`` is the last one; ``inside_rate`` tells whether its first try
+    was within its account's rate and burst; ``runs`` counts its runs.
+    """
+
+    service: str
+    account: str
+    idempotent: bool
+    first_sent_at: float
+    answer: _history.AnyEvent | None
+    inside_rate: bool
+    runs: int
+    cut: bool
+
+    def outcome(self) -> str:
+        """Return ``ok``, an error kind or ``no_answer``."""
+        if self.answer is None or self.answer['status'] == 0:
+            return 'no_answer'
+        if not self.answer['complete']:
+            return 'cut'
+        if self.answer['status'] < 400:
+            return 'ok'
+        return str(self.answer['kind'] or self.answer['status'])
+
+    def latency_s(self) -> float:
+        """Return the time from the first try to the last answer."""
+        end = self.first_sent_at if self.answer is None else self.answer['t']
+        return float(end) - self.first_sent_at
+
+
+def orders(history: _violations.History, facts: _facts.Facts) -> list[Order]:
+    """Return the requests of a history in the order of their first tries."""
+    sent: dict[str, list[_history.AnyEvent]] = collections.defaultdict(list)
+    answers: dict[str, list[_history.AnyEvent]] = collections.defaultdict(list)
+    for event in _violations.of_kind(history, 'sent', 'answered'):
+        table = sent if event['event'] == 'sent' else answers
+        table[event['family']].append(event)
+    begins = _violations.by_request(history, 'begin')
+    buckets = {
+        name: _violations.Bucket(fact.rate, fact.burst, 0.0)
+        for name, fact in facts.accounts.items()
+    }
+    found = []
+    for family, tries in sent.items():
+        first, own = tries[0], answers[family]
+        bucket = buckets.get(first['account'])
+        ids = {one['request_id'] for one in tries}
+        found.append(
+            Order(
+                service=first['service'],
+                account=first['account'],
+                idempotent=first['idempotent'],
+                first_sent_at=first['t'],
+                answer=own[-1] if own else None,
+                inside_rate=bucket is not None
+                and bucket.conforms(first['t'], 1.0),
+                runs=sum(len(begins.get(one, [])) for one in ids),
+                cut=any(is_cut(one) for one in own),
+            )
+        )
+    return found
+
+
+def is_cut(answer: _history.AnyEvent) -> bool:
+    """Tell whether a try ended without a whole answer after it was sent."""
+    if answer['status'] == 0:
+        return bool(answer['kind'] != 'connect_failed')
+    return not answer['complete']
+
+
+def percentile(ordered: collections.abc.Sequence[float], part: float) -> float:
+    """Return the nearest-rank percentile of sorted values, 0 if none."""
+    if not ordered:
+        return 0.0
+    return ordered[max(0, math.ceil(part * len(ordered)) - 1)]
+
+
+def figures(some: collections.abc.Sequence[Order]) -> Figures:
+    """Return the figures of some requests."""
+    useful = [order for order in some if order.outcome() == 'ok']
+    times = sorted(order.latency_s() for order in useful)
+    once = [order for order in some if not order.idempotent]
+    inside = [order for order in some if order.inside_rate]
+    return {
+        'requests': len(some),
+        'outcomes': dict(
+            sorted(collections.Counter(o.outcome() for o in some).items())
+        ),
+        'latency_s': {
+            'p50': percentile(times, 0.5),
+            'p90': percentile(times, 0.9),
+            'p99': percentile(times, 0.99),
+        },
+        'doubled': sum(order.runs > 1 for order in once),
+        'lost': sum(
+            order.runs == 0 and order.outcome() == 'ok' for order in once
+        ),
+        'refused_inside_rate': sum(
+            order.outcome() in WRONGFUL_KINDS for order in inside
+        ),
+        'inside_rate': len(inside),
+        'cut': sum(order.cut for order in some),
+    }
+
+
+def summary(
+    history: _violations.History,
+    facts: _facts.Facts,
+    fair_shares: dict[str, float] | None = None,
+) -> Summary:
+    """Return the figures of a history.
+
+    ``fair_shares`` holds the requests that each account could expect at most
+    when capacity was short; without it accounts are entitled to whatever they
+    sent inside their rate.
+    """
+    every = orders(history, facts)
+    services: dict[str, list[Order]] = collections.defaultdict(list)
+    accounts: dict[str, list[Order]] = collections.defaultdict(list)
+    for order in every:
+        services[order.service].append(order)
+        accounts[order.account].append(order)
+    return {
+        'total': figures(every),
+        'by_service': {
+            name: figures(some) for name, some in sorted(services.items())
+        },
+        'by_account': {
+            name: figures(some) for name, some in sorted(accounts.items())
+        },
+        'worst_served': worst_served(accounts, fair_shares or {}),
+    }
+
+
+def worst_served(
+    accounts: dict[str, list[Order]], fair_shares: dict[str, float]
+) -> AccountService | None:
+    """Return the account that got least of what it was entitled to."""
+    found = []
+    for name, some in sorted(accounts.items()):
+        entitled = min(
+            float(sum(order.inside_rate for order in some)),
+            fair_shares.get(name, math.inf),
+        )
+        if entitled > 0:
+            served = sum(order.outcome() == 'ok' for order in some)
+            share = min(1.0, served / entitled)
+            found.append(AccountService(name, share))
+    return min(found, key=lambda one: one.share, default=None)
--- a/filbertstep/deployment.py
+++ b/filbertstep/deployment.py
@@ -4,6 +4,8 @@
 from filbertstep._deployment import Deployment as Deployment
 from filbertstep._plan import change as change
 from filbertstep._plan import documents as documents
+from filbertstep._plan import example_ticket as example_ticket
+from filbertstep._plan import EXAMPLES as EXAMPLES
 from filbertstep._plan import first_ticket as first_ticket
 from filbertstep._plan import IssuedKey as IssuedKey
 from filbertstep._plan import KEY_PREFIX as KEY_PREFIX
