Use one minute counter, and plain strings for header names

The heartbeat counted minutes from the start of the process and the backup from boot, so every request id looked too old. Header names of the HTTP library cannot be encoded as JSON, so finish messages failed in the background and copies of a request got outcome_unknown.

--- a/filbertstep/_callers.py
+++ b/filbertstep/_callers.py
@@ -344,9 +344,10 @@
 def raw_request(request: web.Request) -> _admission.RawRequest:
     """Return a request's parts as they came."""
     path, _, query = request.raw_path.partition('?')
-    return _admission.RawRequest(
-        request.method, path, query, tuple(request.headers.items())
+    headers = tuple(
+        (str(name), value) for name, value in request.headers.items()
     )
+    return _admission.RawRequest(request.method, path, query, headers)
 
 
 def handler_arguments() -> collections.abc.Mapping[str, int]:
--- a/filbertstep/_clock.py
+++ b/filbertstep/_clock.py
@@ -6,6 +6,15 @@
 
 import abc
 import time
+import typing
+
+# Length in seconds of one step of the counter that ages request ids.
+MINUTE_S: typing.Final = 60.0
+
+
+def minute_of(now: float) -> int:
+    """Return the minute counter of a process at a time of its clock."""
+    return int(now // MINUTE_S)
 
 
 class Clock(abc.ABC):
--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -308,7 +308,9 @@
     ) -> Outcome:
         """Check an answer and read it, as far as it is buffered."""
         headers = tuple(
-            (name, value) for name, value in response.headers.items()
+            # A plain string: the HTTP library's own type cannot be sent on.
+            (str(name), value)
+            for name, value in response.headers.items()
         )
         echoed = response.headers.get('X-Request-Id')
         if echoed is not None and echoed != attempt.request_id:
--- a/filbertstep/_heartbeat.py
+++ b/filbertstep/_heartbeat.py
@@ -95,7 +95,7 @@
 
     def minute(self, now: float) -> int:
         """Return this process's minute counter."""
-        return int((now - self.membership.started) // 60)
+        return clock.minute_of(now)
 
     def build(self, known: dict[str, int], head_index: int) -> HeartbeatDoc:
         """Return a heartbeat to a VM that knows proposals and a head."""
--- a/filbertstep/_plan.py
+++ b/filbertstep/_plan.py
@@ -57,7 +57,7 @@
     deadline_ms: int
     max_body_bytes: int
     queue_limit: int
-    objective: dict[str, float]
+    objective: dict[str, int | float]
     shift_cap: ShiftCapPlan
     upstreams: int
     slots: int
--- a/filbertstep/_request_ids.py
+++ b/filbertstep/_request_ids.py
@@ -11,6 +11,7 @@
 
 import result
 
+from filbertstep import clock
 from filbertstep import errors
 
 SEPARATOR: typing.Final = '~'
@@ -34,8 +35,7 @@
     f'(?P<grant>{GRANT.pattern})~({SUFFIX_PATTERN})'
 )
 
-# Length in seconds of one step of the counter that ages request ids.
-MINUTE_S: typing.Final = 60.0
+minute_of = clock.minute_of
 
 
 class Grant(typing.NamedTuple):
@@ -58,11 +58,6 @@
     suffix: str
 
 
-def minute_of(now: float) -> int:
-    """Return the minute counter of a VM at a time of its own clock."""
-    return int(now // MINUTE_S)
-
-
 def format_grant(grant: Grant) -> str:
     """Return the text of a grant."""
     return SEPARATOR.join(
