--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -108,10 +108,6 @@
 
     def permit(self, request: aiohttp.ClientRequest) -> None:
         """Mark the request as sent, or raise to stop it."""
-        if self.sent:
-            # The HTTP client repeats some methods when a kept connection was
-            # closed; whether that is allowed is for the service to say.
-            raise RepeatedError
         failure = self.on_sending()
         if failure is not None:
             raise StoppedError(failure)
@@ -139,8 +135,12 @@
         timeout: aiohttp.ClientTimeout,
     ) -> typing.Any:
         """Return a connection that the request uses at once."""
-        connection = await super().connect(req, traces, timeout)
         sending = SENDING.get()
+        if sending is not None and sending.sent:
+            # The HTTP client repeats some methods when a kept connection was
+            # closed; whether that is allowed is for the service to say.
+            raise RepeatedError
+        connection = await super().connect(req, traces, timeout)
         if sending is not None:
             try:
                 sending.permit(req)
--- a/filbertstep/_intent_owner.py
+++ b/filbertstep/_intent_owner.py
@@ -78,22 +78,24 @@
         own.settle(result.Ok(self.budget.keep(answer)))
 
     def prune(self, now: float) -> None:
-        """Forget rows past their lifetime."""
+        """Forget settled rows past their lifetime.
+
+        A request that is still to be sent, or runs, keeps its row: its
+        process may have been frozen for that long.
+        """
         oldest = now - _intent_table.RECORD_LIFETIME_S
         expired = []
         for key, own in self.rows.items():
             if own.created > oldest:
                 break
-            expired.append(key)
+            if own.outcome.done():
+                expired.append(key)
         for key in expired:
             self.forget(key)
 
     def forget(self, key: _intent_table.Key) -> None:
-        """Drop a row, but remember that its id may have run."""
+        """Drop a settled row, but remember that its id may have run."""
         own = self.rows.pop(key)
-        own.settle(
-            _intent_messages.unknown("no outcome within the id's lifetime")
-        )
         self.budget.drop(own.outcome.result().ok())
         if own.had_go:
             backup = (own.grant.backup, own.grant.backup_incarnation)
--- /dev/null
+++ b/tests/test_lookup.py
@@ -0,0 +1,414 @@
+"""Tests of client blocks and prepared answers."""
+
+import ipaddress
+import random
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import result
+
+from filbertstep import clock
+from filbertstep import codec
+from filbertstep import config
+from filbertstep import delivery
+from filbertstep import errors
+from filbertstep import lookup
+from filbertstep import systems
+
+BLOCK_COUNT = 100_000
+BYTES_PER_BLOCK = 24
+
+Network = ipaddress.IPv4Network | ipaddress.IPv6Network
+
+
+class BlockCase(typing.NamedTuple):
+    """An address and the site that it belongs to."""
+
+    address: str
+    site: str | None
+
+
+SITES = {
+    'city': ['10.0.0.0/8', '2001:db8::/32'],
+    'cafe': ['10.1.0.0/16', '10.255.255.0/24', '2001:db8:1::/48'],
+    'till': ['10.1.2.3/32', '2001:db8:1:2::/64'],
+    'edge': ['0.0.0.0/32', '255.255.255.0/24', 'ffff::/16'],
+}
+BLOCK_CASES = [
+    BlockCase('10.0.0.0', 'city'),
+    BlockCase('9.255.255.255', None),
+    BlockCase('10.1.0.0', 'cafe'),
+    BlockCase('10.1.2.3', 'till'),
+    BlockCase('10.1.2.4', 'cafe'),
+    BlockCase('10.2.0.0', 'city'),
+    BlockCase('10.255.255.255', 'cafe'),
+    BlockCase('11.0.0.0', None),
+    BlockCase('0.0.0.0', 'edge'),
+    BlockCase('0.0.0.1', None),
+    BlockCase('255.255.255.255', 'edge'),
+    BlockCase('::ffff:10.1.2.3', 'till'),
+    BlockCase('2001:db8::1', 'city'),
+    BlockCase('2001:db8:1::1', 'cafe'),
+    BlockCase('2001:db8:1:2:ffff::1', 'till'),
+    BlockCase('2001:db8:1:3::', 'cafe'),
+    BlockCase('2001:db9::', None),
+    BlockCase('ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff', 'edge'),
+    BlockCase('', None),
+    BlockCase('10.1', None),
+    BlockCase('name', None),
+    BlockCase('10.1.2.3\x00', None),
+    BlockCase('\ud800', None),
+]
+
+
+def v4_block(number: int, length: int) -> str:
+    """Return the IPv4 block of a length around an address."""
+    return str(ipaddress.IPv4Network((number, length), strict=False))
+
+
+def random_block(chance: random.Random, family: str) -> str:
+    """Return an IPv4 /28 or an IPv6 /64 block."""
+    if family == 'IPv4':
+        return v4_block(chance.getrandbits(32), 28)
+    parts = [f'{chance.getrandbits(16):x}' for _ in range(3)]
+    return f'2001:{":".join(parts)}::/64'
+
+
+V4_BLOCKS = strategies.builds(
+    v4_block, strategies.integers(0, 2**32 - 1), strategies.integers(0, 32)
+)
+SITE_BLOCKS = strategies.dictionaries(
+    strategies.sampled_from('abcdef'), strategies.lists(V4_BLOCKS, max_size=8)
+)
+
+
+class TestBlockTable(unittest.TestCase):
+    """Longest match in compact arrays."""
+
+    def test_longest_match(self) -> None:
+        """Guards against wrong ends of nested blocks."""
+        table = lookup.BlockTable(SITES)
+        for case in BLOCK_CASES:
+            with self.subTest(address=case.address):
+                self.assertEqual(case.site, table.find(case.address))
+
+    def test_empty_table(self) -> None:
+        """Guards against a search in arrays without entries."""
+        table = lookup.BlockTable({})
+        self.assertIsNone(table.find('10.0.0.1'))
+        self.assertIsNone(table.find('::1'))
+
+    def test_blocks_that_do_not_fit_are_skipped(self) -> None:
+        """Guards against a block that hides its neighbours."""
+        table = lookup.BlockTable({'a': ['2001:db8::/96', 'x/8', '1.2.3.4']})
+        self.assertEqual(2, table.skipped)
+        self.assertIsNone(table.find('2001:db8::1'))
+        self.assertEqual('a', table.find('1.2.3.4'))
+
+    @hypothesis.settings(
+        derandomize=True, database=None, deadline=None, max_examples=300
+    )
+    @hypothesis.given(SITE_BLOCKS, strategies.randoms(use_true_random=False))
+    def test_same_as_a_search_through_all(
+        self, sites: dict[str, list[str]], chance: random.Random
+    ) -> None:
+        """Guards against faults of the flattening."""
+        networks = [
+            (ipaddress.IPv4Network(block), site)
+            for site, blocks in sites.items()
+            for block in blocks
+        ]
+        owners: dict[ipaddress.IPv4Network, set[str]] = {}
+        for network, site in networks:
+            owners.setdefault(network, set()).add(site)
+        table = lookup.BlockTable(sites)
+        for network in owners:
+            first = int(network.network_address)
+            last = int(network.broadcast_address)
+            near = [first - 1, first, last, last + 1]
+            near.append(chance.randint(first, last))
+            for number in near:
+                if not 0 <= number < 2**32:
+                    continue
+                address = ipaddress.IPv4Address(number)
+                inside = [one for one in owners if address in one]
+                longest = max(
+                    inside, key=lambda one: one.prefixlen, default=None
+                )
+                expected = {None} if longest is None else owners[longest]
+                self.assertIn(table.find(str(address)), expected)
+
+    def test_bytes_per_block(self) -> None:
+        """Guards against a table that outgrows a node's memory."""
+        chance = random.Random(1)
+        for family in ('IPv4', 'IPv6'):
+            with self.subTest(family=family):
+                blocks: set[str] = set()
+                while len(blocks) < BLOCK_COUNT:
+                    blocks.add(random_block(chance, family))
+                ordered = sorted(blocks)
+                table = lookup.BlockTable(
+                    {f's{n}': ordered[n::260] for n in range(260)}
+                )
+                per_block = table.size() / BLOCK_COUNT
+                self.assertLess(per_block, BYTES_PER_BLOCK)
+                self.assertGreater(per_block, 0)
+
+
+class FakeMembership(systems.Membership):
+    """Live VMs that a test sets."""
+
+    def __init__(self) -> None:
+        self.vms: list[systems.LiveVm] = []
+
+    def live(self, now: float) -> list[systems.LiveVm]:
+        """Return the VMs of the test."""
+        return self.vms
+
+
+class FakeFreshness(systems.Freshness):
+    """Freshness that a test sets."""
+
+    def __init__(self) -> None:
+        self.is_fresh = True
+
+    def fresh(self, now: float) -> bool:
+        """Return what the test set."""
+        return self.is_fresh
+
+
+def live_vm(vm: str, zone: str, **changes: typing.Any) -> systems.LiveVm:
+    """Return a VM in an availability zone such as ``hobart-a``."""
+    return systems.LiveVm(
+        vm=vm,
+        incarnation=f'{vm}-i',
+        region=zone.partition('-')[0],
+        availability_zone=zone,
+        state='serving',
+        url=f'http://{vm}',
+        minute=7,
+        burden=0.0,
+    )._replace(**changes)
+
+
+def make_view(index: int, **more: typing.Any) -> config.View:
+    """Return a view with three regions, a service and two sites."""
+    documents = config.empty_documents()
+    names = ['hobart', 'launceston', 'burnie']
+    for name in names:
+        near = [other for other in reversed(names) if other != name]
+        documents[config.Kind.REGION][name] = {
+            'availability_zones': [f'{name}-a', f'{name}-b'],
+            'near': near,
+        }
+    documents[config.Kind.SERVICE]['bookings'] = {
+        'path_prefix': '/bookings',
+        'work': 'interactive',
+        'open': False,
+        'idempotent_methods': ['GET'],
+        'deadline_ms': 2000,
+        'max_body_bytes': 1000,
+        'queue_limit': 10,
+        'regions': {'hobart': 1.0},
+        'objective': {
+            'in_time_ms': 100,
+            'in_time_share': 0.99,
+            'served_share': 0.99,
+        },
+    }
+    documents[config.Kind.SITE]['cafe'] = {
+        'region': 'burnie',
+        'blocks': ['10.3.0.0/16'],
+    }
+    documents[config.Kind.SITE]['lost'] = {
+        'region': 'nowhere',
+        'blocks': ['10.4.0.0/16'],
+    }
+    documents[config.Kind.DRAIN].update(more)
+    head = config.empty_head()
+    sections = {}
+    for name, content in config.split(documents).items():
+        key = config.section_key(name, content)
+        head['sections'][name] = key
+        sections[key] = content
+    return config.make_view(index, head, sections)
+
+
+class TestLookup(unittest.TestCase):
+    """Order, grants and changes of prepared answers."""
+
+    def setUp(self) -> None:
+        """Make a VM in Hobart with five others."""
+        self.clock = clock.FakeClock(600.0)
+        self.views = config.ViewTable()
+        self.views.learn(make_view(1), 0.0)
+        self.membership = FakeMembership()
+        self.membership.vms = [
+            live_vm('vm-2', 'hobart-b'),
+            live_vm('vm-3', 'launceston-a'),
+            live_vm('vm-4', 'launceston-b'),
+            live_vm('vm-5', 'burnie-a'),
+            live_vm('vm-6', 'burnie-b', burden=0.9),
+        ]
+        self.freshness = FakeFreshness()
+        self.system = lookup.LookupSystem(
+            lookup.Identity(
+                'vm-1', 'vm-1-i', 'hobart', 'hobart-a', 'http://vm-1'
+            ),
+            self.clock,
+            self.views,
+            self.membership,
+            self.freshness,
+        )
+        self.tick()
+
+    def tick(self) -> None:
+        """Run one tick."""
+        self.system.tick(self.clock.now())
+
+    def change(self, vm: str, **changes: typing.Any) -> None:
+        """Change a live VM."""
+        self.membership.vms = [
+            row._replace(**changes) if row.vm == vm else row
+            for row in self.membership.vms
+        ]
+        self.tick()
+
+    def ask(self, client: str | None = None) -> lookup.LookupDoc:
+        """Look up the service."""
+        answer = self.system.answer('bookings', client).unwrap()
+        return codec.decode(answer, lookup.LookupDoc).unwrap()
+
+    def names(self, client: str | None = None) -> list[str]:
+        """Return the names of the VMs in the order of an answer."""
+        return [row['vm'] for row in self.ask(client)['vms']]
+
+    def test_nearest_then_least_burdened_then_own_zone(self) -> None:
+        """Guards against callers sent far away or to a busy VM."""
+        self.assertEqual(
+            ['vm-1', 'vm-2', 'vm-5', 'vm-6', 'vm-3', 'vm-4'], self.names()
+        )
+        self.assertEqual(
+            ['vm-5', 'vm-6', 'vm-3', 'vm-4', 'vm-1', 'vm-2'],
+            self.names('10.3.4.5'),
+        )
+        self.system.burden = 0.8
+        self.tick()
+        self.assertEqual(['vm-2', 'vm-1'], self.names()[:2])
+
+    def test_unknown_clients_get_the_own_region(self) -> None:
+        """Guards against a client without an answer."""
+        for client in ('10.4.0.1', '192.0.2.1', 'x', '::1'):
+            with self.subTest(client=client):
+                self.assertEqual('vm-1', self.names(client)[0])
+
+    def test_equal_vms_take_turns(self) -> None:
+        """Guards against all callers using one of two equal VMs."""
+        self.change('vm-6', burden=0.0)
+        client = '10.3.4.5'
+        firsts = [self.names(client)[0] for _ in range(4)]
+        self.assertEqual(['vm-5', 'vm-6', 'vm-5', 'vm-6'], firsts)
+
+    def test_stopping_vms_are_left_out(self) -> None:
+        """Guards against new callers at a VM that stops."""
+        for state in ('draining', 'leaving', 'joining'):
+            with self.subTest(state=state):
+                self.change('vm-2', state=state)
+                self.assertNotIn('vm-2', self.names())
+        self.change('vm-2', state='serving')
+        self.system.state = 'draining'
+        self.tick()
+        self.assertNotIn('vm-1', self.names())
+
+    def test_drained_vm_is_left_out(self) -> None:
+        """Guards against a planned drain that look-ups ignore."""
+        drain = {'target_kind': 'vm', 'target': 'vm-2'}
+        self.views.learn(make_view(2, d=drain), self.clock.now())
+        self.tick()
+        self.assertNotIn('vm-2', self.names())
+
+    def test_stopping_vms_when_nothing_else_is_left(self) -> None:
+        """Guards against an empty answer while a VM still serves."""
+        self.membership.vms = []
+        self.system.state = 'draining'
+        self.tick()
+        self.assertEqual(['vm-1'], self.names())
+
+    def test_backup_is_in_another_zone(self) -> None:
+        """Guards against an id that is lost with one zone."""
+        zones = {'vm-1': 'hobart-a'}
+        zones.update(
+            (row.vm, row.availability_zone) for row in self.membership.vms
+        )
+        for row in self.ask()['vms']:
+            with self.subTest(vm=row['vm']):
+                grant = delivery.parse_grant(row['grant']).unwrap()
+                self.assertEqual(row['vm'], grant.owner)
+                self.assertEqual(f'{row["vm"]}-i', grant.owner_incarnation)
+                self.assertEqual(f'{grant.backup}-i', grant.backup_incarnation)
+                self.assertNotEqual(zones[row['vm']], zones[grant.backup])
+                minute = 10 if grant.backup == 'vm-1' else 7
+                self.assertEqual(minute, grant.minute)
+
+    def test_backup_with_few_vms(self) -> None:
+        """Guards against a grant without a backup."""
+        self.membership.vms = [live_vm('vm-2', 'hobart-a')]
+        self.tick()
+        grants = [
+            delivery.parse_grant(row['grant']).unwrap()
+            for row in self.ask()['vms']
+        ]
+        self.assertEqual(['vm-2', 'vm-1'], [row.backup for row in grants])
+        self.membership.vms = []
+        self.tick()
+        grant = delivery.parse_grant(self.system.own_grant()).unwrap()
+        self.assertEqual(('vm-1', 10), (grant.backup, grant.minute))
+
+    def test_answers_follow_changes_only(self) -> None:
+        """Guards against stale grants and against needless work."""
+        prepared = self.system.prepared
+        self.clock.advance(0.1)
+        self.tick()
+        self.assertIs(prepared, self.system.prepared)
+        for change in (
+            lambda: self.clock.advance(60.0),
+            lambda: self.change('vm-3', minute=8),
+            lambda: self.change('vm-3', incarnation='other'),
+            lambda: self.views.learn(make_view(2), 0.0),
+        ):
+            prepared = self.system.prepared
+            change()
+            self.tick()
+            self.assertIsNot(prepared, self.system.prepared)
+
+    def test_new_sites_are_used(self) -> None:
+        """Guards against blocks of a former configuration."""
+        blocks = self.system.blocks
+        self.views.learn(make_view(2), 0.0)
+        self.tick()
+        self.assertIs(blocks, self.system.blocks)
+        view = make_view(3)
+        self.views.learn(
+            view._replace(
+                config=view.config._replace(
+                    sites={'x': config.Site('x', 'burnie', ('192.0.2.0/24',))}
+                ),
+                head={**view.head, 'sections': {'site/0': 'other'}},
+            ),
+            0.0,
+        )
+        self.tick()
+        self.assertEqual('vm-5', self.names('192.0.2.9')[0])
+
+    def test_refusals(self) -> None:
+        """Guards against answers from a VM whose evidence lapsed."""
+        failure = self.system.answer('other', None).unwrap_err()
+        self.assertIs(errors.ErrorKind.NOT_FOUND, failure.kind)
+        self.freshness.is_fresh = False
+        answer = self.system.answer('bookings', None)
+        self.assertIsInstance(answer, result.Err)
+        failure = answer.unwrap_err()
+        self.assertIs(errors.ErrorKind.NO_FRESH_CONFIG, failure.kind)
+        self.assertIsNotNone(failure.retry_after_s)
