--- a/filbertstep/caller.py
+++ b/filbertstep/caller.py
@@ -3,3 +3,5 @@
 from filbertstep._caller import CallerClient as CallerClient
 from filbertstep._caller import main as main
 from filbertstep._caller_state import CallAnswer as CallAnswer
+from filbertstep._caller_state import Progress as Progress
+from filbertstep._caller_state import Reply as Reply
