--- a/filbertstep/_agreement.py
+++ b/filbertstep/_agreement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import random
 import typing
 
@@ -90,9 +91,7 @@
             self.learner,
             lambda vm: self.members.reach(vm, time_source.now()),
         )
-        self.ticket_book = _ticket_book.TicketBook(
-            time_source, self.committer
-        )
+        self.ticket_book = _ticket_book.TicketBook(time_source, self.committer)
         self.heartbeats = _heartbeat.Heartbeats(
             time_source,
             self.evidence,
@@ -148,7 +147,8 @@
         for vm in sorted(self.heartbeats.ahead):
             self.heartbeats.ahead.discard(vm)
             self.tasks.start(
-                f'catch up {vm}', lambda vm=vm: self.learner.from_peer(vm)
+                f'catch up {vm}',
+                functools.partial(self.learner.from_peer, vm),
             )
         overdue = self.book.overdue(now)
         if now - self.learner.store_heard_at < STORE_REACHED_S:
--- a/filbertstep/_catchup.py
+++ b/filbertstep/_catchup.py
@@ -144,9 +144,7 @@
         if doc['head'] is not None:
             self.take(doc['head_index'], doc['head'])
         for proposal in doc['proposals']:
-            self.book.add(
-                _promises.proposal_row(proposal), self.clock.now()
-            )
+            self.book.add(_promises.proposal_row(proposal), self.clock.now())
         return result.Ok(self.views.index())
 
     async def answer_config(
@@ -156,13 +154,11 @@
         decoded = codec.convert(message, ConfigQuestionDoc)
         if isinstance(decoded, result.Err):
             return result.Err(
-                errors.Failure(
-                    errors.ErrorKind.BAD_REQUEST, decoded.err_value
-                )
+                errors.Failure(errors.ErrorKind.BAD_REQUEST, decoded.err_value)
             )
         newest = self.views.newest
-        named = set() if newest is None else set(
-            newest.head['sections'].values()
+        named = (
+            set() if newest is None else set(newest.head['sections'].values())
         )
         named -= set(decoded.ok_value['held'])
         answer: ConfigAnswerDoc = {
--- a/filbertstep/_commit.py
+++ b/filbertstep/_commit.py
@@ -103,7 +103,7 @@
         taken effect and the head could not be read since.
         """
         async with self.lock:
-            self.maybe_swapped = None
+            self.forget_swap()
             failure = unavailable('the head changed too often')
             for _ in range(MAX_ATTEMPTS):
                 attempt = await self.attempt(change)
@@ -119,6 +119,10 @@
                 failure = undecided(failure.message)
             return result.Err(failure)
 
+    def forget_swap(self) -> None:
+        """Note that no swap is without a known outcome."""
+        self.maybe_swapped = None
+
     async def attempt(self, change: Change) -> Attempt:
         """Make one attempt from a read of the head to the swap."""
         asked_at = self.clock.now()
@@ -129,7 +133,7 @@
             return result.Err(unavailable('the store lost the newest head'))
         index, base = self.views.index(), self.views.newest
         if self.maybe_swapped is not None and index > self.maybe_swapped:
-            self.maybe_swapped = None
+            self.forget_swap()
         planned = change(base)
         if isinstance(planned, result.Err):
             return planned
@@ -240,9 +244,7 @@
         decoded = codec.convert(message, _promises.PromiseDoc)
         if isinstance(decoded, result.Err):
             return result.Err(
-                errors.Failure(
-                    errors.ErrorKind.BAD_REQUEST, decoded.err_value
-                )
+                errors.Failure(errors.ErrorKind.BAD_REQUEST, decoded.err_value)
             )
         proposal = _promises.proposal_row(decoded.ok_value['proposal'])
         answer = self.book.promise(proposal, self.clock.now())
--- a/filbertstep/_evidence.py
+++ b/filbertstep/_evidence.py
@@ -110,7 +110,10 @@
 
         A higher index than the known head's says that this VM is behind.
         """
-        if self.store is not None and self.store.head_index <= self.views.index():
+        if (
+            self.store is not None
+            and self.store.head_index <= self.views.index()
+        ):
             self.counted_store = self.store
         return self.counted_store
 
--- a/filbertstep/_heartbeat.py
+++ b/filbertstep/_heartbeat.py
@@ -97,9 +97,7 @@
         """Return this process's minute counter."""
         return int((now - self.membership.started) // 60)
 
-    def build(
-        self, known: dict[str, int], head_index: int
-    ) -> HeartbeatDoc:
+    def build(self, known: dict[str, int], head_index: int) -> HeartbeatDoc:
         """Return a heartbeat to a VM that knows proposals and a head."""
         now = self.clock.now()
         store = self.evidence.store
@@ -137,9 +135,7 @@
         decoded = codec.convert(message, HeartbeatDoc)
         if isinstance(decoded, result.Err):
             return result.Err(
-                errors.Failure(
-                    errors.ErrorKind.BAD_REQUEST, decoded.err_value
-                )
+                errors.Failure(errors.ErrorKind.BAD_REQUEST, decoded.err_value)
             )
         return result.Ok(dict(self.answer_doc(decoded.ok_value)))
 
--- a/filbertstep/_membership.py
+++ b/filbertstep/_membership.py
@@ -197,8 +197,7 @@
         row = self.table.rows.get(member.vm)
         if row is not None and self.heard(member.vm, now):
             return (
-                row.state == 'leaving'
-                or row.incarnation != member.incarnation
+                row.state == 'leaving' or row.incarnation != member.incarnation
             )
         return self.silence(member.vm, now) >= REMOVE_AFTER_S
 
--- a/filbertstep/_ticket_book.py
+++ b/filbertstep/_ticket_book.py
@@ -88,7 +88,7 @@
         Errors say that the ticket is refused; it did and will not take
         effect under this attempt.
         """
-        checked = config.check_ticket(raw)
+        checked = config.check(raw)
         if isinstance(checked, result.Err):
             return checked
         ticket = checked.ok_value
@@ -213,7 +213,7 @@
     """Return a status of a ticket that the head does not name."""
     return TicketStatus(
         ticket['number'],
-        config.ticket_digest(ticket),
+        config.digest(ticket),
         ticket['author'],
         state,
         message,
@@ -248,7 +248,7 @@
     number = ticket['number']
     for record in head['recent']:
         if record['number'] == number:
-            if record['digest'] == config.ticket_digest(ticket):
+            if record['digest'] == config.digest(ticket):
                 return result.Ok(True)
             return result.Err(
                 conflict(f'ticket {number} was committed with other changes')
@@ -284,7 +284,7 @@
         keys[name] = key
     record: config.TicketRecordDoc = {
         'number': ticket['number'],
-        'digest': config.ticket_digest(ticket),
+        'digest': config.digest(ticket),
         'author': ticket['author'],
     }
     planned = head.copy()
--- a/filbertstep/config.py
+++ b/filbertstep/config.py
@@ -47,8 +47,8 @@
 from filbertstep._tickets import apply_ticket as apply_ticket
 from filbertstep._tickets import changed_sections as changed_sections
 from filbertstep._tickets import ChangeDoc as ChangeDoc
-from filbertstep._tickets import check as check_ticket
-from filbertstep._tickets import digest as ticket_digest
+from filbertstep._tickets import check as check
+from filbertstep._tickets import digest as digest
 from filbertstep._tickets import TicketDoc as TicketDoc
 from filbertstep._views import EVIDENCE_LIFETIME_S as EVIDENCE_LIFETIME_S
 from filbertstep._views import FormerEpoch as FormerEpoch
