--- a/filbertstep/_asker.py
+++ b/filbertstep/_asker.py
@@ -233,7 +233,7 @@
         if isinstance(checked, result.Err) or bucket is None:
             return
         grant = checked.ok_value
-        self.delay(line, grant['units'], now)
+        self.delay(line, ask, grant['units'], now)
         if grant['units']:
             bucket.credit(
                 grant['units'], grant['tokens'], ask.message['epoch']
@@ -241,13 +241,18 @@
             self.note_given(vm, bucket.resource, grant['units'])
         self.credited(bucket, now)
 
-    def delay(self, line: Line, units: int, now: float) -> None:
-        """Set when a peer may be asked again."""
+    def delay(self, line: Line, ask: Ask, units: int, now: float) -> None:
+        """Set when a peer may be asked again.
+
+        A peer that keeps a small bucket's units for an older request has
+        them free again soon, so that its delay does not grow.
+        """
         if units >= _transfers.LEAST_TRANSFER:
             line.delay_s = FIRST_DELAY_S
             return
         line.not_before = now + line.delay_s
-        line.delay_s = min(LONGEST_DELAY_S, 2 * line.delay_s)
+        if not ask.message['short']:
+            line.delay_s = min(LONGEST_DELAY_S, 2 * line.delay_s)
 
     def note_given(self, vm: str, resource: str, units: int) -> None:
         """Lower a peer's units as last heard by what it gave."""
--- a/filbertstep/_shares.py
+++ b/filbertstep/_shares.py
@@ -30,6 +30,9 @@
 LEAST_RETRY_AFTER_S: typing.Final = 0.05
 MOST_RETRY_AFTER_S: typing.Final = 60.0
 
+# Shortest timer in seconds; a rounding error must not make a busy loop.
+LEAST_TIMER_S: typing.Final = 0.001
+
 # Demand below this part of the rate is not advertised.
 LEAST_DEMAND: typing.Final = 0.001
 
@@ -63,7 +66,7 @@
         self.table = _buckets.ShareTable(vm, incarnation, views)
         self.giver = _transfers.Giver(self.table, freshness)
         self.asker = _asker.Asker(
-            self.table, membership, peers, rng, clock.now, self.serve
+            self.table, membership, peers, rng, clock.now, self.credited
         )
         self.timers: set[str] = set()
 
@@ -124,6 +127,12 @@
             bucket.waiters.popleft()
         self.set_timer(bucket)
 
+    def credited(self, bucket: _buckets.Bucket, now: float) -> None:
+        """Serve after an answer; ask on at once while requests wait."""
+        self.serve(bucket, now)
+        if bucket.waiters and self.freshness.fresh(now):
+            self.asker.ask(bucket, now)
+
     def set_timer(self, bucket: _buckets.Bucket) -> None:
         """Wake up when the refill covers the first waiting request.
 
@@ -132,12 +141,12 @@
         if not bucket.waiters or bucket.resource in self.timers:
             return
         lacking = bucket.waiters[0].amount - bucket.tokens
-        if lacking >= systems.TICK_S * bucket.refill_rate():
-            return
-        delay_s = max(0.001, lacking / bucket.refill_rate())
+        delay_s = systems.TICK_S
+        if bucket.refill_rate() > 0:
+            delay_s = min(delay_s, lacking / bucket.refill_rate())
         self.timers.add(bucket.resource)
         asyncio.get_running_loop().call_later(
-            delay_s, self.wake, bucket.resource
+            max(LEAST_TIMER_S, delay_s), self.wake, bucket.resource
         )
 
     def wake(self, resource: str) -> None:
