--- a/filbertstep/_asker.py
+++ b/filbertstep/_asker.py
@@ -244,14 +244,18 @@
     def delay(self, line: Line, ask: Ask, units: int, now: float) -> None:
         """Set when a peer may be asked again.
 
-        A peer that keeps a small bucket's units for an older request has
-        them free again soon, so that its delay does not grow.
+        Where all VMs are short, requests wait all the time, and answers
+        without a delay between them would be asked for all the time too.  A
+        peer that keeps a small bucket's units for an older request has them
+        free again soon, so that its delay does not grow.
         """
-        if units >= _transfers.LEAST_TRANSFER:
+        gave = units >= _transfers.LEAST_TRANSFER
+        if gave:
             line.delay_s = FIRST_DELAY_S
+        if gave and ask.message['short']:
             return
         line.not_before = now + line.delay_s
-        if not ask.message['short']:
+        if not gave and not ask.message['short']:
             line.delay_s = min(LONGEST_DELAY_S, 2 * line.delay_s)
 
     def note_given(self, vm: str, resource: str, units: int) -> None:
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,431 @@
+"""Tests of the slot system."""
+
+import asyncio
+import typing
+import unittest
+
+import result
+
+from filbertstep import config
+from filbertstep import errors
+from filbertstep import systems
+from filbertstep import transport
+from tests import sharing_fakes as fakes
+
+SLOTS_PATH = '/peer/slots'
+RETURN_PATH = '/peer/slots/return'
+
+# Deadline of the service in seconds, and the time after which a slot gained
+# through a new epoch may be used: L + D + 3 s.
+DEADLINE_S = 2.0
+TAKEOVER_S = fakes.L + DEADLINE_S + 3.0
+
+Owned = dict[tuple[str, int], list[str]]
+
+
+def make_fleet(
+    count: int = 3,
+    servers: int = 4,
+    slots: int = 3,
+    regions: dict[str, str] | None = None,
+) -> fakes.Fleet:
+    """Return a fleet whose members all know epoch 1."""
+    documents = fakes.make_documents(servers=servers, slots=slots)
+    fleet = fakes.Fleet(documents, regions=regions)
+    fleet.start_epoch_1(count)
+    return fleet
+
+
+def owners(fleet: fakes.Fleet) -> Owned:
+    """Return the VMs that may use each slot as its owner now."""
+    found: Owned = {}
+    for vm, node in fleet.nodes.items():
+        node.slots.table.refresh(fleet.clock.now())
+        for server, slots in node.slots.table.owned.items():
+            for slot in slots:
+                found.setdefault((server, slot), []).append(vm)
+    return found
+
+
+def owned(fleet: fakes.Fleet, vm: str) -> set[tuple[str, int]]:
+    """Return the slots that a VM owns now."""
+    return {key for key, vms in owners(fleet).items() if vm in vms}
+
+
+def change(
+    fleet: fakes.Fleet, changes: dict[config.Kind, dict[str, typing.Any]]
+) -> None:
+    """Commit changed documents; all VMs learn them at once."""
+    documents = {
+        kind: {**entities, **changes.get(kind, {})}
+        for kind, entities in fleet.store.documents.items()
+    }
+    fleet.store.documents = documents
+    newest = fleet.store.heads[-1]
+    view = fleet.store.view(newest)
+    for node in fleet.nodes.values():
+        index = node.views.index() + 1
+        node.views.learn(view._replace(head_index=index), fleet.clock.now())
+
+
+def acquire_all(
+    node: fakes.Node, now: float, run_for_s: float = DEADLINE_S
+) -> list[systems.SlotHold]:
+    """Use all slots that a VM may use."""
+    holds = []
+    for server in node.slots.table.owned:
+        hold = node.slots.acquire(server, run_for_s, now)
+        while hold is not None:
+            holds.append(hold)
+            hold = node.slots.acquire(server, run_for_s, now)
+    return holds
+
+
+class TestOwnership(unittest.TestCase):
+    """Slots are owned by rendezvous hashing over epochs."""
+
+    def test_each_slot_has_one_owner(self) -> None:
+        """Guards against slots that nobody or two VMs may use."""
+        east = {'vm-1': 'east', 'vm-2': 'east'}
+        for count, regions, expected in (
+            (1, {}, {'vm-1'}),
+            (3, {}, {'vm-1', 'vm-2', 'vm-3'}),
+            (4, east, {'vm-3', 'vm-4'}),
+            (2, east, {'vm-1', 'vm-2'}),
+        ):
+            with self.subTest(count=count, regions=regions):
+                fleet = make_fleet(count, servers=10, regions=regions)
+                found = owners(fleet)
+                self.assertEqual(30, len(found))
+                self.assertEqual({1}, {len(vms) for vms in found.values()})
+                self.assertEqual(expected, {vms[0] for vms in found.values()})
+
+    def test_lost_vm_moves_only_its_slots(self) -> None:
+        """Guards against a takeover that stops slots of other VMs."""
+        fleet = make_fleet(4, servers=10)
+        before = owners(fleet)
+        fleet.kill('vm-2')
+        fleet.commit_all()
+        kept = {key: vms for key, vms in before.items() if vms != ['vm-2']}
+        self.assertEqual(kept, owners(fleet))
+        fleet.clock.advance(TAKEOVER_S - 0.1)
+        self.assertEqual(kept, owners(fleet))
+        fleet.clock.advance(0.2)
+        after = owners(fleet)
+        self.assertEqual(30, len(after))
+        self.assertEqual({1}, {len(vms) for vms in after.values()})
+
+    def test_process_that_joins_waits(self) -> None:
+        """Guards against a new member that uses slots still in use."""
+        fleet = make_fleet(2, servers=10)
+        fleet.start('vm-3')
+        fleet.commit_all()
+        # It does not know which deadlines were in force before it started.
+        longest_s = fakes.L + config.MAX_DEADLINE_S + 3.0
+        fleet.clock.advance(longest_s - 0.1)
+        self.assertEqual(set(), owned(fleet, 'vm-3'))
+        fleet.clock.advance(0.2)
+        self.assertEqual(30, len(owners(fleet)))
+        self.assertNotEqual(set(), owned(fleet, 'vm-3'))
+
+    def test_restarted_process_owns_nothing(self) -> None:
+        """Guards against a process that uses the former one's slots."""
+        fleet = make_fleet(2)
+        fleet.kill('vm-2')
+        node = fleet.start('vm-2')
+        node.learn(fleet.store, fleet.clock.now())
+        fleet.clock.advance(60.0)
+        self.assertEqual(set(), owned(fleet, 'vm-2'))
+
+    def test_lowered_deadline_still_counts(self) -> None:
+        """Guards against a takeover while longer requests still run."""
+        fleet = make_fleet(3, servers=10)
+        service = fleet.store.documents[config.Kind.SERVICE]['shop']
+        short = {**service, 'deadline_ms': 500}
+        change(fleet, {config.Kind.SERVICE: {'shop': short}})
+        fleet.kill('vm-3')
+        fleet.commit_all()
+        for node in fleet.nodes.values():
+            node.views.learn(
+                fleet.store.view(fleet.store.heads[-1])._replace(
+                    head_index=100
+                ),
+                fleet.clock.now(),
+            )
+        for _ in range(round((TAKEOVER_S - 0.1) / 0.1)):
+            fleet.clock.advance(0.1)
+            self.assertLess(len(owners(fleet)), 30)
+        # The longer deadline is seen until its view left those in force.
+        fleet.clock.advance(20.0)
+        self.assertEqual(30, len(owners(fleet)))
+
+    def test_changed_region_waits(self) -> None:
+        """Guards against two owners of a server that changed its region."""
+        regions = {'vm-1': 'east', 'vm-2': 'west'}
+        fleet = make_fleet(2, servers=1, regions=regions)
+        self.assertEqual(3, len(owned(fleet, 'vm-2')))
+        server = fleet.store.documents[config.Kind.BACKEND_SERVER]['b0']
+        moved = {**server, 'region': 'east'}
+        change(fleet, {config.Kind.BACKEND_SERVER: {'b0': moved}})
+        for _ in range(round((TAKEOVER_S - 0.1) / 0.1)):
+            fleet.clock.advance(0.1)
+            self.assertEqual({}, owners(fleet))
+        fleet.clock.advance(15.0)
+        self.assertEqual(3, len(owned(fleet, 'vm-1')))
+
+
+class TestUse(unittest.TestCase):
+    """Acquiring and releasing slots."""
+
+    def test_slots_are_used_once(self) -> None:
+        """Guards against more requests than slots on a server."""
+        fleet = make_fleet(1, servers=2, slots=3)
+        slots = fleet.nodes['vm-1'].slots
+        now = fleet.clock.now()
+        self.assertEqual({'b0': 3, 'b1': 3}, slots.idle('shop', 'west', now))
+        holds = [slots.acquire('b0', 1.0, now) for _ in range(4)]
+        self.assertIsNone(holds.pop())
+        self.assertEqual(3, slots.in_use('b0'))
+        self.assertEqual({'b1': 3}, slots.idle('shop', 'west', now))
+        self.assertEqual({'west': 0.5}, slots.room('shop', now))
+        for hold in holds:
+            assert hold is not None
+            slots.release(hold, now)
+        self.assertEqual(0, slots.in_use('b0'))
+
+    def test_second_release_frees_nothing(self) -> None:
+        """Guards against a slot freed under another request."""
+        fleet = make_fleet(1, servers=1, slots=1)
+        slots = fleet.nodes['vm-1'].slots
+        now = fleet.clock.now()
+        first = slots.acquire('b0', 1.0, now)
+        assert first is not None
+        slots.release(first, now)
+        self.assertIsNotNone(slots.acquire('b0', 1.0, now))
+        slots.release(first, now)
+        self.assertIsNone(slots.acquire('b0', 1.0, now))
+        self.assertEqual(1, slots.in_use('b0'))
+
+    def test_refused(self) -> None:
+        """Guards against requests outside the rules of other VMs."""
+        fleet = make_fleet(1)
+        node = fleet.nodes['vm-1']
+        now = fleet.clock.now()
+        self.assertIsNone(node.slots.acquire('none', 1.0, now))
+        self.assertIsNone(node.slots.acquire('b0', DEADLINE_S + 0.1, now))
+        node.freshness.stopped = True
+        self.assertIsNone(node.slots.acquire('b0', 1.0, now))
+        self.assertEqual({}, node.slots.idle('shop', 'west', now))
+
+    def test_drained_server_is_not_idle(self) -> None:
+        """Guards against new work on a server that leaves."""
+        fleet = make_fleet(1, servers=2)
+        drain = {'target_kind': 'backend_server', 'target': 'b0'}
+        change(fleet, {config.Kind.DRAIN: {'d1': drain}})
+        slots = fleet.nodes['vm-1'].slots
+        now = fleet.clock.now()
+        self.assertIsNone(slots.acquire('b0', 1.0, now))
+        self.assertEqual({'b1': 3}, slots.idle('shop', 'west', now))
+
+    def test_release_at_deadline(self) -> None:
+        """Guards against a slot used again while its request may run."""
+        fleet = make_fleet(1, servers=1, slots=1)
+        slots = fleet.nodes['vm-1'].slots
+        hold = slots.acquire('b0', 1.0, fleet.clock.now())
+        assert hold is not None
+        slots.release_at_deadline(hold)
+
+        async def tick_after(seconds: float) -> bool:
+            fleet.clock.advance(seconds)
+            slots.tick(fleet.clock.now())
+            return slots.in_use('b0') == 1
+
+        self.assertTrue(fakes.run(fleet.clock, tick_after(0.99)))
+        self.assertFalse(fakes.run(fleet.clock, tick_after(0.3)))
+        self.assertIsNotNone(slots.acquire('b0', 1.0, fleet.clock.now()))
+
+
+class TestLoans(unittest.TestCase):
+    """Idle slots are lent, used by one VM at a time, and come back."""
+
+    def setUp(self) -> None:
+        """Start two VMs that have heard each other."""
+        self.fleet = make_fleet(2, servers=4, slots=3)
+        self.lender = self.fleet.nodes['vm-1']
+        self.borrower = self.fleet.nodes['vm-2']
+        self.fleet.heartbeat()
+
+    def now(self) -> float:
+        """Return the simulated time."""
+        return self.fleet.clock.now()
+
+    async def borrow(self, count: int = 12) -> list[systems.SlotHold]:
+        """Use all own slots of the borrower and borrow more."""
+        held = acquire_all(self.borrower, self.now())
+        self.borrower.slots.want('shop', 'west', count, self.now())
+        await asyncio.sleep(0.05)
+        return held
+
+    def borrowed(self) -> int:
+        """Return the number of loans that the borrower has."""
+        return len(self.borrower.slots.borrower.book.loans)
+
+    def lent(self) -> int:
+        """Return the number of slots that the lender has lent."""
+        return len(self.lender.slots.lent.slots)
+
+    def test_loans_are_used_and_not_by_the_lender(self) -> None:
+        """Guards against a slot that lender and borrower both use."""
+
+        async def scenario() -> None:
+            held = await self.borrow()
+            held += acquire_all(self.borrower, self.now(), 1.5)
+            self.assertEqual(12, len(held))
+            self.assertEqual([], acquire_all(self.lender, self.now()))
+            lenders = {hold.lender for hold in held}
+            self.assertEqual({None, 'vm-1'}, lenders)
+
+        fakes.run(self.fleet.clock, scenario())
+
+    def test_idle_loans_go_back(self) -> None:
+        """Guards against slots that no VM uses."""
+
+        async def scenario() -> None:
+            await self.borrow()
+            self.assertGreater(self.lent(), 0)
+            await self.fleet.go_on(0.4)
+            self.assertGreater(self.lent(), 0)
+            await self.fleet.go_on(0.3)
+            self.assertEqual((0, 0), (self.borrowed(), self.lent()))
+
+        fakes.run(self.fleet.clock, scenario())
+
+    def test_lost_return_ends_after_the_loan(self) -> None:
+        """Guards against a lender that uses a slot during its loan."""
+
+        async def scenario() -> None:
+            started = self.now()
+            self.fleet.peers.lost.add(('vm-1', RETURN_PATH))
+            await self.borrow()
+            lent = self.lent()
+            # D + 2 s of the loan and one second more.
+            ended = started + DEADLINE_S + 2.0 + 1.0
+            await self.fleet.go_on(ended - self.now() - 0.1)
+            self.assertEqual(lent, self.lent())
+            await self.fleet.go_on(0.4)
+            self.assertEqual(0, self.lent())
+
+        fakes.run(self.fleet.clock, scenario())
+
+    def test_request_ends_inside_the_loan(self) -> None:
+        """Guards against a request that outlives its loan."""
+
+        async def scenario() -> None:
+            asked = self.now()
+            await self.borrow()
+            self.fleet.clock.advance(asked + 3.0 - self.now())
+            now = self.now()
+            for run_for_s, expected in ((1.1, False), (1.0, True)):
+                holds = [
+                    self.borrower.slots.acquire(server, run_for_s, now)
+                    for server in ('b0', 'b1', 'b2', 'b3')
+                ]
+                found = [hold for hold in holds if hold is not None]
+                self.assertEqual(expected, bool(found))
+                for hold in found:
+                    self.assertLessEqual(hold.run_until, asked + 4.0)
+
+        fakes.run(self.fleet.clock, scenario())
+
+    def test_lost_answer_is_asked_for_again(self) -> None:
+        """Guards against loans that neither side can use."""
+
+        async def scenario() -> None:
+            self.fleet.peers.answer_lost.add(('vm-1', SLOTS_PATH))
+            await self.borrow()
+            lent = self.lent()
+            self.assertGreater(lent, 0)
+            self.assertEqual(0, self.borrowed())
+            self.fleet.peers.answer_lost.clear()
+            await self.fleet.go_on(0.3)
+            self.assertEqual((lent, lent), (self.borrowed(), self.lent()))
+
+        fakes.run(self.fleet.clock, scenario())
+
+    def test_lender_keeps_what_it_used_recently(self) -> None:
+        """Guards against loans that the lender has to ask back at once."""
+        held = acquire_all(self.lender, self.now())
+        for hold in held[:4]:
+            self.lender.slots.release(hold, self.now())
+        place = systems_place()
+        self.assertEqual(0, self.lender.slots.lendable(place, self.now()))
+        self.fleet.clock.advance(5.0)
+        later = self.lender.slots.lendable(place, self.now())
+        self.assertEqual(4, later)
+
+    def test_stale_lender_refuses(self) -> None:
+        """Guards against loans of slots that have a new owner."""
+        self.lender.freshness.stopped = True
+
+        async def scenario() -> None:
+            await self.borrow()
+            self.assertEqual((0, 0), (self.borrowed(), self.lent()))
+
+        fakes.run(self.fleet.clock, scenario())
+
+    def test_hand_over_returns_loans(self) -> None:
+        """Guards against slots that a planned stop takes out of use."""
+
+        async def scenario() -> None:
+            await self.borrow()
+            lent = self.lent()
+            server = next(iter(self.lender.slots.lent.loans.values())).server
+            hold = self.borrower.slots.acquire(server, 1.0, self.now())
+            assert hold is not None
+            await self.borrower.slots.hand_over()
+            self.assertEqual((1, 1), (self.borrowed(), self.lent()))
+            self.assertGreater(lent, 1)
+            self.borrower.slots.release(hold, self.now())
+            await self.fleet.go_on(0.2)
+            self.assertEqual((0, 0), (self.borrowed(), self.lent()))
+            self.borrower.slots.want('shop', 'west', 9, self.now())
+            await self.fleet.go_on(0.2)
+            self.assertEqual(0, self.borrowed())
+
+        fakes.run(self.fleet.clock, scenario())
+
+    def test_bad_message(self) -> None:
+        """Guards against a message that stops the system."""
+        slots = self.lender.slots
+
+        async def scenario() -> None:
+            for handler in (slots.answer_borrow, slots.answer_return):
+                for message in ({}, {'vm': 1}, {'loans': [], 'x': 1}):
+                    answer = await handler(
+                        typing.cast(transport.Message, message)
+                    )
+                    self.assertIsInstance(answer, result.Err)
+                    kind = answer.unwrap_err().kind
+                    self.assertEqual(errors.ErrorKind.BAD_REQUEST, kind)
+
+        fakes.run(self.fleet.clock, scenario())
+        parts: list[dict[str, typing.Any]] = [{}, {'slots': {'shop': 1}}]
+        for part in parts:
+            slots.receive('vm-9', 'i9', part, self.now())
+        self.assertNotIn('vm-9', slots.borrower.heard)
+
+    def test_room_counts_all_vms(self) -> None:
+        """Guards against room seen by one VM only."""
+        acquire_all(self.lender, self.now())
+        self.fleet.heartbeat()
+        part = len(owned(self.fleet, 'vm-2')) / 12
+        self.assertEqual(
+            {'west': part}, self.borrower.slots.room('shop', self.now())
+        )
+
+
+def systems_place() -> typing.Any:
+    """Return the place of the service in the fleet."""
+    fleet = make_fleet(1)
+    fleet.nodes['vm-1'].slots.table.refresh(fleet.clock.now())
+    return next(iter(fleet.nodes['vm-1'].slots.table.servers))
