--- a/filbertstep/_caller.py
+++ b/filbertstep/_caller.py
@@ -20,6 +20,7 @@
 import fire
 import yarl
 
+from filbertstep import _caller_connections
 from filbertstep import _caller_state
 from filbertstep import codec
 from filbertstep import errors
@@ -76,6 +77,10 @@
     async def __aenter__(self) -> 'CallerClient':
         """Open the client's connections."""
         self.session = aiohttp.ClientSession(
+            connector=_caller_connections.OnceConnector(
+                limit=0,
+                keepalive_timeout=_caller_connections.KEEPALIVE_S,
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
         )
@@ -289,6 +294,7 @@
         sent = list(headers)
         if self.key is not None:
             sent.append(('Authorization', f'Bearer {self.key}'))
+        token = _caller_connections.CONNECTED.set([])
         try:
             async with self.session.request(
                 method,
@@ -310,6 +316,8 @@
             return _caller_state.Reply(0, sent=False)
         except (aiohttp.ClientError, OSError, TimeoutError):
             return _caller_state.Reply(0)
+        finally:
+            _caller_connections.CONNECTED.reset(token)
 
 
 async def call_once(
