--- a/filbertstep/_plan.py
+++ b/filbertstep/_plan.py
@@ -48,6 +48,14 @@
     interval_s: float
 
 
+class ObjectivePlan(typing.TypedDict):
+    """Service-level objective, as the configuration has it."""
+
+    in_time_ms: int
+    in_time_share: float
+    served_share: float
+
+
 class ServicePlan(typing.TypedDict):
     """A service and its backend servers; ``mean_ms`` is their run time."""
 
@@ -57,7 +65,7 @@
     deadline_ms: int
     max_body_bytes: int
     queue_limit: int
-    objective: dict[str, float]
+    objective: ObjectivePlan
     shift_cap: ShiftCapPlan
     upstreams: int
     slots: int
--- a/filbertstep/_standin_link.py
+++ b/filbertstep/_standin_link.py
@@ -159,14 +159,16 @@
         link = self.links.setdefault(doc['link'], Link(doc['link']))
         host, _, port = doc['target'].rpartition(':')
 
-        async def accept(
+        def accept(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            task = asyncio.current_task()
-            if task is not None:
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
-            await relay(link, (reader, writer), host, int(port))
+            # asyncio logs an error when it cancels a task of its own that
+            # serves a connection, so that relays have tasks of their own.
+            task = asyncio.create_task(
+                relay(link, (reader, writer), host, int(port))
+            )
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
         server = await asyncio.start_server(
             accept, self.host, doc['port'], limit=4 * PIECE_BYTES
--- a/filbertstep/deployment.py
+++ b/filbertstep/deployment.py
@@ -2,6 +2,7 @@
 
 from filbertstep._calls import DeploymentError as DeploymentError
 from filbertstep._deployment import Deployment as Deployment
+from filbertstep._plan import Change as Change
 from filbertstep._plan import change as change
 from filbertstep._plan import documents as documents
 from filbertstep._plan import example_ticket as example_ticket
