--- a/filbertstep/_checkers_answers.py
+++ b/filbertstep/_checkers_answers.py
@@ -209,14 +209,14 @@
     history: _violations.History, facts: _facts.Facts, gave_up: set[str]
 ) -> list[_violations.Violation]:
     """Find runs on a draining backend server that the system cancelled."""
-    cut = {
+    excused = {
         event['request_id']
         for event in _violations.of_kind(history, 'answered')
-        if is_cut(event)
+        if is_cut(event) or event['kind'] == 'deadline_exceeded'
     }
     found = []
     for event in _violations.of_kind(history, 'cancel'):
-        if event['request_id'] in gave_up or event['request_id'] in cut:
+        if event['request_id'] in gave_up | excused:
             continue
         for drain in facts.drains:
             over = drain.ended_at is not None and event['t'] > drain.ended_at
--- a/filbertstep/_deployment.py
+++ b/filbertstep/_deployment.py
@@ -35,6 +35,7 @@
 
     async def __aenter__(self) -> typing.Self:
         """Start the stand-ins."""
+        self.cancel_on_sigterm(asyncio.current_task())
         try:
             await self.start_standins()
         except BaseException:
@@ -53,6 +54,7 @@
 
     async def close(self) -> None:
         """End all processes; nodes before the stand-ins they need."""
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
         try:
             names = list(self.processes.running)
             standins = [name for name in names if name not in self.vms]
@@ -65,6 +67,12 @@
             if self.history is not None:
                 self.history.close()
 
+    def cancel_on_sigterm(self, task: asyncio.Task[typing.Any] | None) -> None:
+        """Let SIGTERM cancel a task, so that the processes are ended."""
+        if task is not None:
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
+
     async def start(self) -> None:
         """Start all nodes, put the first ticket in force, await readiness."""
         await self.start_nodes()
@@ -147,6 +155,17 @@
         self.processes.kill(vm)
         await self.list_vm(vm, None)
 
+    async def kill_region(self, region: str) -> None:
+        """Kill a region's nodes and backend servers."""
+        for group in self.backend_groups():
+            own = [name for name in self.groups if self.groups[name] == group]
+            if all(self.servers[name].region == region for name in own):
+                self.note('killed', name=group)
+                self.processes.kill(group)
+        for vm, row in self.vms.items():
+            if row.region == region and self.processes.is_running(vm):
+                await self.kill_node(vm)
+
     async def stop_node(self, vm: str, timeout_s: float = 90.0) -> None:
         """Stop a node gracefully and wait until it has ended."""
         self.note('stop_began', name=vm)
--- a/filbertstep/_standin_fleet.py
+++ b/filbertstep/_standin_fleet.py
@@ -11,6 +11,7 @@
 from filbertstep import _history
 from filbertstep import _standin_backend
 from filbertstep import _standin_common
+from filbertstep import _standin_faults
 from filbertstep import codec
 
 # Exit status of a process that a request crashed.
@@ -22,8 +23,8 @@
 
     def __init__(
         self,
-        docs: list[_standin_backend.ServerDoc],
-        faults: _standin_backend.ServerFaults,
+        docs: list[_standin_faults.ServerDoc],
+        faults: _standin_faults.ServerFaults,
         seed: int,
         secret_prefix: str,
         history: _history.Writer,
@@ -131,18 +132,18 @@
             connection.transport.abort()
 
 
-def read_spec(path: str) -> list[_standin_backend.ServerDoc]:
+def read_spec(path: str) -> list[_standin_faults.ServerDoc]:
     """Read a spec file: a JSON list of servers."""
     text = pathlib.Path(path).read_text(encoding='utf-8')
     return codec.decode_with_comments(
-        text, list[_standin_backend.ServerDoc]
+        text, list[_standin_faults.ServerDoc]
     ).unwrap()
 
 
 async def run(
-    docs: list[_standin_backend.ServerDoc],
+    docs: list[_standin_faults.ServerDoc],
     control: tuple[str, int] | None,
-    faults: _standin_backend.ServerFaults,
+    faults: _standin_faults.ServerFaults,
     seed: int,
     secret_prefix: str,
     history: str,
--- a/filbertstep/standins.py
+++ b/filbertstep/standins.py
@@ -11,7 +11,7 @@
 import fire
 import uvloop
 
-from filbertstep import _standin_backend
+from filbertstep import _standin_faults
 from filbertstep import _standin_fleet
 from filbertstep import _standin_link
 from filbertstep import _standin_store
@@ -68,8 +68,8 @@
 
     With ``control_port`` one more listener controls all servers by name.
     """
-    faults: _standin_backend.ServerFaults = {
-        **_standin_backend.DEFAULT_FAULTS,
+    faults: _standin_faults.ServerFaults = {
+        **_standin_faults.DEFAULT_FAULTS,
         'slots': slots,
         'queue': queue,
         'connections': connections,
@@ -78,7 +78,7 @@
         'warmup_s': float(warmup_s),
         'crash_text': str(crash_text),
     }
-    own: _standin_backend.ServerDoc = {
+    own: _standin_faults.ServerDoc = {
         'name': name,
         'service': service,
         'region': region,
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import sys
 import tempfile
 import typing
 import unittest
@@ -182,6 +183,39 @@
         self.assertGreater(len(pids), 5)
         self.assertTrue(self.gone(pids))
 
+    async def test_processes_end_when_their_parent_is_told_to(self) -> None:
+        """Guards against processes that outlive a run that timed out."""
+        parent = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'tests.hold_deployment',
+            self.directory,
+            cwd=str(deployment.EXAMPLES.parent),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        assert parent.stdout is not None
+        async with asyncio.timeout(20):
+            pids = json.loads(await parent.stdout.readline())
+            parent.terminate()
+            await parent.wait()
+        self.assertGreater(len(pids), 4)
+        self.assertTrue(self.gone(pids))
+
+    async def test_region_can_be_killed(self) -> None:
+        """Guards against a failed region of which something lives on."""
+        async with self.make('vleiland') as made:
+            await made.start_nodes()
+            await made.kill_region('western-cape')
+            for name, process in made.processes.running.items():
+                with self.subTest(name):
+                    row = made.vms.get(name)
+                    dead = name == 'backends-western-cape' or (
+                        row is not None and row.region == 'western-cape'
+                    )
+                    self.assertEqual(dead, process.poll() is not None)
+            self.assertEqual(5, len(await self.listed(made)))
+
     async def test_node_that_ends_is_reported(self) -> None:
         """Guards against a wait for a node that has failed."""
         made = self.make('huon-burr')
