--- a/filbertstep/_demo.py
+++ b/filbertstep/_demo.py
@@ -24,8 +24,8 @@
 EXAMPLES: typing.Final = ('huon-burr', 'vleiland')
 
 # Share of its rate that each account offers, and of the one that sends more.
-LOAD: typing.Final = 0.35
-GREEDY_FACTOR: typing.Final = 3.0
+LOAD: typing.Final = 0.4
+GREEDY_FACTOR: typing.Final = 4.0
 
 # Times in seconds after the start of the traffic.
 WITHDRAW_AT_S: typing.Final = 3.0
@@ -93,7 +93,7 @@
     async with deployment.Deployment(plan, options) as deployed:
         await deployed.start()
         callers = traffic.Traffic(deployed, seed)
-        greedy = max(
+        greedy = min(
             plan['client_accounts'],
             key=lambda account: plan['client_accounts'][account]['rate'],
         )
