--- a/filbertstep/_demo.py
+++ b/filbertstep/_demo.py
@@ -27,9 +27,11 @@
 LOAD: typing.Final = 0.4
 GREEDY_FACTOR: typing.Final = 4.0
 
+# Requests a second in each region with the key that is withdrawn.
+SPARE_RATE: typing.Final = 2.0
+
 # Times in seconds after the start of the traffic.
 WITHDRAW_AT_S: typing.Final = 3.0
-DRAIN_AT_S: typing.Final = 4.0
 STOP_AT_S: typing.Final = 5.0
 KILL_AT_S: typing.Final = 12.0
 TRAFFIC_S: typing.Final = 18.0
@@ -47,35 +49,48 @@
     violations: list[str]
 
 
-async def disturb(deployed: deployment.Deployment, greedy: str) -> None:
-    """Change and break things while traffic runs."""
+def spare_key(
+    plan: deployment.Plan, greedy: str, seed: int
+) -> deployment.IssuedKey:
+    """Return one more key, for the largest account that sends no more."""
+    accounts = plan['client_accounts']
+    account = max(
+        (name for name in accounts if name != greedy),
+        key=lambda name: accounts[name]['rate'],
+    )
+    return deployment.new_key(account, f'{account}-spare', seed)
+
+
+async def change_keys_and_drain(
+    deployed: deployment.Deployment, spare: deployment.IssuedKey
+) -> None:
+    """Withdraw a key in use, and drain a backend server."""
     vms = sorted(deployed.vms)
-    key = next(key for key in deployed.keys if key.client_account != greedy)
-    extra = f'{key.client_account}-extra'
     await asyncio.sleep(WITHDRAW_AT_S)
-    made = deployment.new_key(key.client_account, extra, 7)
     await deployed.submit_changes(
-        [
-            deployment.change(
-                config.Kind.KEY,
-                extra,
-                {
-                    'client_account': key.client_account,
-                    'digest': made.digest(),
-                },
-            )
-        ],
-        vms[1],
+        [deployment.change(config.Kind.KEY, spare.name, None)], vms[2]
     )
-    changes = [deployment.change(config.Kind.KEY, key.name, None)]
     server = sorted(deployed.servers)[0]
     drain = {'target_kind': 'backend_server', 'target': server}
-    await deployed.submit_changes(changes, vms[2])
     await deployed.submit_changes(
         [deployment.change(config.Kind.DRAIN, f'd-{server}', drain)], vms[3]
     )
 
 
+async def issue(
+    deployed: deployment.Deployment, key: deployment.IssuedKey
+) -> None:
+    """Put one more key in force before the traffic starts."""
+    state = {
+        'client_account': key.client_account,
+        'digest': key.digest(),
+    }
+    await deployed.submit_changes(
+        [deployment.change(config.Kind.KEY, key.name, state)]
+    )
+    await deployed.wait_ready()
+
+
 async def stop_and_kill(deployed: deployment.Deployment) -> None:
     """Stop one VM as planned and kill another."""
     vms = sorted(deployed.vms)
@@ -92,15 +107,18 @@
     options = deployment.Options(directory, seed)
     async with deployment.Deployment(plan, options) as deployed:
         await deployed.start()
-        callers = traffic.Traffic(deployed, seed)
         greedy = min(
             plan['client_accounts'],
             key=lambda account: plan['client_accounts'][account]['rate'],
         )
+        spare = spare_key(plan, greedy, seed)
+        await issue(deployed, spare)
+        callers = traffic.Traffic(deployed, seed)
         with contextlib.closing(callers):
             await asyncio.gather(
                 callers.run(TRAFFIC_S, LOAD, {greedy: GREEDY_FACTOR}),
-                disturb(deployed, greedy),
+                callers.run_key(spare, TRAFFIC_S, SPARE_RATE),
+                change_keys_and_drain(deployed, spare),
                 stop_and_kill(deployed),
             )
         facts = deployed.facts()
--- a/filbertstep/_traffic.py
+++ b/filbertstep/_traffic.py
@@ -194,18 +194,19 @@
         for key in self.deployed.keys:
             account = plan['client_accounts'][key.client_account]
             share = factors.get(key.client_account, load)
-            for region, row in plan['regions'].items():
-                rate = account['rate'] * share / len(plan['regions'])
-                block = row['client_blocks'][0].rpartition('.')[0]
-                found.append(
-                    Source(
-                        key,
-                        region,
-                        rate,
-                        f'{block}.1',
-                        self.lookup_urls(region),
-                    )
-                )
+            rate = account['rate'] * share / len(plan['regions'])
+            found.extend(self.sources_of(key, rate))
+        return found
+
+    def sources_of(
+        self, key: deployment.IssuedKey, rate: float
+    ) -> list[Source]:
+        """Return the sources of one key; ``rate`` is that of a region."""
+        found = []
+        for region, row in self.deployed.plan['regions'].items():
+            block = row['client_blocks'][0].rpartition('.')[0]
+            urls = self.lookup_urls(region)
+            found.append(Source(key, region, rate, f'{block}.1', urls))
         return found
 
     def lookup_urls(self, region: str) -> tuple[str, ...]:
@@ -228,6 +229,17 @@
             *(self.run_source(source, seconds) for source in sources)
         )
 
+    async def run_key(
+        self, key: deployment.IssuedKey, seconds: float, rate: float
+    ) -> None:
+        """Send traffic with one key; ``rate`` is that of a region."""
+        await asyncio.gather(
+            *(
+                self.run_source(source, seconds)
+                for source in self.sources_of(key, rate)
+            )
+        )
+
     async def run_source(self, source: Source, seconds: float) -> None:
         """Send one source's requests."""
         loop = asyncio.get_running_loop()
