--- a/filbertstep/_dispatch.py
+++ b/filbertstep/_dispatch.py
@@ -218,7 +218,8 @@
         now: float,
     ) -> _assignments.Assignment | None:
         """Take link bytes and a slot in the region of a placement."""
-        choices = _situation.eligible(request, situation, placement.region)
+        idle = _situation.eligible(request, situation, placement.region)
+        choices = self.survey.candidates(idle, now)
         grant = self.granter.grant(request, placement.region, choices, now)
         if grant is None:
             return None
@@ -365,14 +366,6 @@
             self.queues[name].expire(now)
             self.pump(name, now, refuse=True)
 
-    def measured(self, service: str) -> _statistics.ServiceStatistics:
-        """Return the statistics of a service."""
-        found = self.statistics.get(service)
-        if found is None:
-            found = _statistics.ServiceStatistics()
-            self.statistics[service] = found
-        return found
-
     def status(self, now: float) -> dict[str, _statistics.ServiceStatus]:
         """Return the operators' figures by service."""
         view = self.views.newest
@@ -381,15 +374,21 @@
             item.placement.service for item in self.running.values()
         )
         return {
-            name: {
-                'queued': len(self.queues.get(name, ())),
-                'running': running[name],
-                'idle_slots': {
+            name: self.measured(name).status(
+                len(self.queues.get(name, ())),
+                running[name],
+                {
                     region: sum(self.slots.idle(name, region, now).values())
                     for region in self.fleet.by_region(name)
                 },
-                'p50_s': self.measured(name).quantile(0.5),
-                'p99_s': self.measured(name).quantile(0.99),
-            }
+            )
             for name in names
         }
+
+    def measured(self, service: str) -> _statistics.ServiceStatistics:
+        """Return the statistics of a service."""
+        found = self.statistics.get(service)
+        if found is None:
+            found = _statistics.ServiceStatistics()
+            self.statistics[service] = found
+        return found
--- a/filbertstep/_fleet.py
+++ b/filbertstep/_fleet.py
@@ -1,15 +1,28 @@
 """Backend servers that may get new requests, by service and region."""
 
+import math
 import typing
 
 from filbertstep import _health
 from filbertstep import config
+from filbertstep import systems
 
 Servers = tuple[config.BackendServer, ...]
 
 
+class Group(typing.NamedTuple):
+    """The servers of a region that may get requests, and their names."""
+
+    servers: Servers
+    names: frozenset[str]
+
+
 class Fleet:
-    """Reads the views in force and the health table; keeps only an index."""
+    """Reads the views in force and the health table.
+
+    It keeps an index of the newest view, and what is usable for one tick
+    unless a view or a server's health changes before.
+    """
 
     def __init__(
         self, views: config.ViewTable, health: _health.HealthTable
@@ -18,6 +31,9 @@
         self.health = health
         self.indexed: config.View | None = None
         self.index: dict[str, dict[str, Servers]] = {}
+        self.groups: dict[str, dict[str, Group]] = {}
+        self.groups_of: tuple[int, int, int] = (-1, -1, -1)
+        self.groups_at = -math.inf
 
     def by_region(self, service: str) -> dict[str, Servers]:
         """Return all servers of a service by region."""
@@ -38,23 +54,40 @@
             if drain.target_kind is kind
         }
 
-    def usable(
-        self, service: str, now: float
-    ) -> dict[str, list[config.BackendServer]]:
-        """Return servers that may get new requests, by region.
+    def usable(self, service: str, now: float) -> dict[str, Group]:
+        """Return the servers that may get new requests, by region.
 
-        A region without such a server maps to an empty list.
+        A region without such a server maps to an empty group.
         """
+        state = (
+            self.views.index(),
+            len(self.views.pending),
+            self.health.version,
+        )
+        lapsed = not 0 <= now - self.groups_at < systems.TICK_S
+        if lapsed or state != self.groups_of:
+            self.groups = {}
+            self.groups_of = state
+            self.groups_at = now
+        found = self.groups.get(service)
+        if found is None:
+            found = self.groups[service] = self.build_groups(service, now)
+        return found
+
+    def build_groups(self, service: str, now: float) -> dict[str, Group]:
+        """Return the groups of a service from tables and views."""
         drained = self.drained(config.DrainTarget.BACKEND_SERVER, now)
-        return {
-            region: [
+        groups = {}
+        for region, servers in self.by_region(service).items():
+            usable = tuple(
                 server
                 for server in servers
                 if server.name not in drained
                 and self.health.usable(server.name)
-            ]
-            for region, servers in self.by_region(service).items()
-        }
+            )
+            names = frozenset(server.name for server in usable)
+            groups[region] = Group(usable, names)
+        return groups
 
 
 def build_index(
--- a/filbertstep/_health.py
+++ b/filbertstep/_health.py
@@ -128,6 +128,8 @@
     def __init__(self) -> None:
         self.rows: dict[str, HealthRow] = {}
         self.synced = False
+        # Rises with each change of what ``usable`` returns.
+        self.version = 0
 
     def sync(
         self, servers: dict[str, config.BackendServer], now: float
@@ -137,6 +139,7 @@
         A server that appears later starts slowly.  The first set does not: it
         is this VM that is new then, not the servers.
         """
+        self.version += 1
         for name in [name for name in self.rows if name not in servers]:
             del self.rows[name]
         for name, server in servers.items():
@@ -304,6 +307,7 @@
             if event in OBSERVED_BAD:
                 self.eject(row, now)
         row.state = state
+        self.version += 1
 
     def eject(self, row: HealthRow, now: float) -> None:
         """Take a server out of use on observation alone, for a time."""
--- a/filbertstep/_shift.py
+++ b/filbertstep/_shift.py
@@ -108,7 +108,9 @@
                 {
                     region: weight
                     for region, weight in service.regions.items()
-                    if region not in drained and usable.get(region)
+                    if region not in drained
+                    and region in usable
+                    and usable[region].servers
                 }
             )
         return split
--- a/filbertstep/_situation.py
+++ b/filbertstep/_situation.py
@@ -13,7 +13,8 @@
 # whose idle slots all belong to other VMs counts as full.
 BORROW_WAIT_S: typing.Final = 0.05
 
-Candidates = dict[str, list[_choice.Candidate]]
+Idle = tuple[config.BackendServer, int]
+"""A backend server and the number of this VM's idle slots on it."""
 
 
 class Situation(typing.NamedTuple):
@@ -24,7 +25,7 @@
     slots of all VMs.
     """
 
-    idle: Candidates
+    idle: dict[str, list[Idle]]
     alive: dict[str, frozenset[str]]
     elsewhere: dict[str, float]
 
@@ -47,57 +48,56 @@
         usable = self.fleet.usable(service, now)
         return Situation(
             idle={
-                region: self.candidates(service, region, servers, now)
-                for region, servers in usable.items()
-            },
-            alive={
-                region: frozenset(server.name for server in servers)
-                for region, servers in usable.items()
+                region: self.idle(service, region, group.servers, now)
+                for region, group in usable.items()
             },
+            alive={region: group.names for region, group in usable.items()},
             elsewhere=self.slots.room(service, now),
         )
 
-    def candidates(
+    def idle(
         self,
         service: str,
         region: str,
         servers: collections.abc.Iterable[config.BackendServer],
         now: float,
-    ) -> list[_choice.Candidate]:
+    ) -> list[Idle]:
         """Return the servers of a region with an idle slot of this VM."""
-        idle = self.slots.idle(service, region, now)
+        slots = self.slots.idle(service, region, now)
         return [
-            self.candidate(server, idle[server.name], now)
+            (server, count)
             for server in servers
-            if idle.get(server.name, 0) > 0
+            if (count := slots.get(server.name, 0)) > 0
         ]
 
-    def candidate(
-        self, server: config.BackendServer, idle: int, now: float
-    ) -> _choice.Candidate:
-        """Return a server as the policy sees it."""
-        name = server.name
-        return _choice.Candidate(
-            server=server,
-            idle=idle,
-            in_use=self.slots.in_use(name),
-            reported_load=self.fleet.health.load(name, now),
-            latency_s=self.fleet.health.latency(name, now),
-            trouble=self.fleet.health.trouble(name, now),
-            suspect=self.fleet.health.suspect(name),
-            same_zone=server.availability_zone == self.availability_zone,
-        )
+    def candidates(
+        self, idle: collections.abc.Iterable[Idle], now: float
+    ) -> list[_choice.Candidate]:
+        """Return servers as the policy sees them."""
+        health = self.fleet.health
+        return [
+            _choice.Candidate(
+                server=server,
+                idle=count,
+                in_use=self.slots.in_use(server.name),
+                reported_load=health.load(server.name, now),
+                latency_s=health.latency(server.name, now),
+                trouble=health.trouble(server.name, now),
+                suspect=health.suspect(server.name),
+                same_zone=server.availability_zone == self.availability_zone,
+            )
+            for server, count in idle
+        ]
 
 
 def eligible(
     request: _assignments.DispatchRequest, situation: Situation, region: str
-) -> list[_choice.Candidate]:
+) -> list[Idle]:
     """Return the servers of a region that a request may try."""
-    return [
-        item
-        for item in situation.idle.get(region, ())
-        if item.server.name not in request.exclude
-    ]
+    found = situation.idle.get(region, [])
+    if not request.exclude:
+        return found
+    return [item for item in found if item[0].name not in request.exclude]
 
 
 def room_by_region(
--- a/filbertstep/_statistics.py
+++ b/filbertstep/_statistics.py
@@ -72,6 +72,18 @@
         """Return the time in seconds that a run needs at least."""
         return max(LEAST_RUN_S, self.median)
 
+    def status(
+        self, queued: int, running: int, idle_slots: dict[str, int]
+    ) -> ServiceStatus:
+        """Return the operators' figures."""
+        return {
+            'queued': queued,
+            'running': running,
+            'idle_slots': idle_slots,
+            'p50_s': self.quantile(0.5),
+            'p99_s': self.quantile(0.99),
+        }
+
     def quantile(self, quantile: float) -> float | None:
         """Return a quantile in seconds, interpolated within a bucket."""
         counts = [
