--- a/filbertstep/_dispatch.py
+++ b/filbertstep/_dispatch.py
@@ -22,9 +22,8 @@
 from filbertstep import _health
 from filbertstep import _links
 from filbertstep import _queue
-from filbertstep import _shift
 from filbertstep import _situation
-from filbertstep import _splits
+from filbertstep import _starts
 from filbertstep import _statistics
 from filbertstep import clock
 from filbertstep import config
@@ -43,22 +42,12 @@
 Queue = _queue.FairQueue[_assignments.DispatchRequest, _assignments.Assignment]
 
 
-class Neighbours(typing.NamedTuple):
-    """The systems that the dispatcher composes."""
-
-    views: config.ViewTable
-    slots: systems.Slots
-    shares: systems.Shares
-    health: _health.HealthTable
-    shift: _shift.ShiftSystem
-
-
 class Dispatcher(systems.System):
     """Assigns requests to slots; keeps the queues of this VM."""
 
     def __init__(
         self,
-        neighbours: Neighbours,
+        neighbours: _starts.Neighbours,
         clock: clock.Clock,
         region: str,
         availability_zone: str,
@@ -77,17 +66,20 @@
             self.fleet, neighbours.slots, availability_zone
         )
         self.clock = clock
-        self.granter = _grants.Granter(
-            self.links,
-            neighbours.slots,
-            neighbours.health,
-            policy or _choice.SlotAwareChoice(),
-            rng,
+        self.starter = _starts.Starter(
+            neighbours,
+            self.survey,
+            _grants.Granter(
+                self.links,
+                neighbours.slots,
+                neighbours.health,
+                policy or _choice.SlotAwareChoice(),
+                rng,
+            ),
         )
+        self.running = self.starter.running
         self.queues: dict[str, Queue] = {}
         self.statistics: dict[str, _statistics.ServiceStatistics] = {}
-        self.running: dict[int, _assignments.Assignment] = {}
-        self.numbers = itertools.count(1)
 
     async def assign(
         self, request: _assignments.DispatchRequest
@@ -107,7 +99,9 @@
         queue = self.queues.setdefault(name, _queue.FairQueue())
         first = not queue
         if first:
-            outcome = self.attempt(request, 0.0, self.survey.look(name, now))
+            outcome = self.starter.attempt(
+                request, 0.0, self.survey.look(name, now), now
+            )
             if outcome is not None:
                 if isinstance(outcome, result.Ok):
                     account = request.client_account or ''
@@ -159,81 +153,6 @@
         )
         self.finish(assignment, observation, self.clock.now())
 
-    def attempt(
-        self,
-        request: _assignments.DispatchRequest,
-        waited_s: float,
-        situation: _situation.Situation,
-    ) -> result.Result[_assignments.Assignment, errors.Failure] | None:
-        """Start a request, refuse it, or return None when it has to wait."""
-        now = self.clock.now()
-        service = request.service
-        full: set[str] = set()
-        while True:
-            room = _situation.room_by_region(
-                request, waited_s, situation, full
-            )
-            placed = self.shift.place(service, request.point, room, now)
-            if isinstance(placed, result.Err):
-                if self.worth_waiting(request, placed, situation, now):
-                    return None
-                return placed
-            placement = placed.ok_value
-            started = self.start(request, placement, situation, now)
-            if started is not None:
-                return result.Ok(started)
-            self.shift.cancel(placement)
-            if not _situation.eligible(request, situation, placement.region):
-                # Another VM has the idle slots; wait for a loan.
-                return None
-            full.add(placement.region)
-
-    def worth_waiting(
-        self,
-        request: _assignments.DispatchRequest,
-        refused: result.Err[errors.Failure],
-        situation: _situation.Situation,
-        now: float,
-    ) -> bool:
-        """Tell whether a refused request can start when slots come free.
-
-        It cannot where all servers that it may use are gone.
-        """
-        wanted, reference = self.shift.preferred(
-            request.service, request.point, now
-        )
-        regions = {reference}
-        if refused.err_value.kind is errors.ErrorKind.NO_ROOM:
-            regions |= {wanted, *self.shift.target(request.service, now)}
-        return any(
-            situation.alive.get(region, frozenset()) - request.exclude
-            for region in regions
-        )
-
-    def start(
-        self,
-        request: _assignments.DispatchRequest,
-        placement: _splits.Placement,
-        situation: _situation.Situation,
-        now: float,
-    ) -> _assignments.Assignment | None:
-        """Take link bytes and a slot in the region of a placement."""
-        idle = _situation.eligible(request, situation, placement.region)
-        choices = self.survey.candidates(idle, now)
-        grant = self.granter.grant(request, placement.region, choices, now)
-        if grant is None:
-            return None
-        assignment = _assignments.Assignment(
-            next(self.numbers),
-            grant.server,
-            grant.hold,
-            placement,
-            grant.link,
-        )
-        self.running[assignment.number] = assignment
-        self.health.note_use(grant.server.name, now)
-        return assignment
-
     def finish(
         self,
         assignment: _assignments.Assignment,
@@ -306,7 +225,9 @@
                 # Its task was cancelled and has not run since.
                 queue.remove(waiter)
                 return True
-            outcome = self.attempt(waiter.request, waited_s, situation)
+            outcome = self.starter.attempt(
+                waiter.request, waited_s, situation, now
+            )
             if outcome is None:
                 continue
             if isinstance(outcome, result.Ok):
--- a/filbertstep/routing.py
+++ b/filbertstep/routing.py
@@ -17,7 +17,6 @@
 from filbertstep._choice import SlotAwareChoice as SlotAwareChoice
 from filbertstep._choice import TwoChoicesReported as TwoChoicesReported
 from filbertstep._dispatch import Dispatcher as Dispatcher
-from filbertstep._dispatch import Neighbours as Neighbours
 from filbertstep._fleet import Fleet as Fleet
 from filbertstep._health import Event as Event
 from filbertstep._health import HealthTable as HealthTable
@@ -33,4 +32,5 @@
 from filbertstep._retries import RetryBudget as RetryBudget
 from filbertstep._shift import ShiftSystem as ShiftSystem
 from filbertstep._splits import Placement as Placement
+from filbertstep._starts import Neighbours as Neighbours
 from filbertstep._statistics import ServiceStatus as ServiceStatus
--- /dev/null
+++ b/tests/routing_bench.py
@@ -0,0 +1,139 @@
+"""A dispatcher with fakes of its neighbours, for tests."""
+
+import asyncio
+import random
+import typing
+
+import result
+
+from filbertstep import clock
+from filbertstep import config
+from filbertstep import errors
+from filbertstep import routing
+from tests import routing_fakes
+
+Assigned = result.Result[routing.Assignment, errors.Failure]
+
+ANSWERED = routing.Observation(routing.Outcome.ANSWERED, 0.02, 1000, False)
+
+
+class Bench:
+    """A dispatcher in hobart with fakes of its neighbours."""
+
+    def __init__(self, docs: config.Documents) -> None:
+        self.clock = clock.FakeClock()
+        self.views = config.ViewTable()
+        self.health = routing.HealthTable()
+        self.index = 0
+        self.change(docs)
+        self.slots = routing_fakes.FakeSlots(self.config.backend_servers)
+        self.shares = routing_fakes.FakeShares()
+        fleet = routing.Fleet(self.views, self.health)
+        self.shift = routing.ShiftSystem(self.views, fleet, 'hobart')
+        self.dispatcher = routing.Dispatcher(
+            routing.Neighbours(
+                self.views, self.slots, self.shares, self.health, self.shift
+            ),
+            self.clock,
+            'hobart',
+            'hobart-a',
+            random.Random(5),
+        )
+
+    def change(self, docs: config.Documents) -> None:
+        """Learn a configuration."""
+        self.index += 1
+        routing_fakes.learn(self.views, docs, self.index, self.clock.now())
+        assert self.views.newest is not None
+        self.config = self.views.newest.config
+        self.health.sync(self.config.backend_servers, self.clock.now())
+
+    def request(
+        self, service: str = 'bookings', **changes: typing.Any
+    ) -> routing.DispatchRequest:
+        """Return a request with five seconds to its deadline."""
+        made = routing.DispatchRequest(
+            service=self.config.services[service],
+            client_account='bakery',
+            weight=1.0,
+            point=0.1,
+            deadline=self.clock.now() + 5.0,
+            request_bytes=500,
+        )
+        return made._replace(**changes)
+
+    async def get(
+        self, service: str = 'bookings', **changes: typing.Any
+    ) -> routing.Assignment:
+        """Assign a request that must start at once."""
+        task = self.begin(service, **changes)
+        await settle()
+        assert task.done()
+        return task.result().unwrap()
+
+    async def refusal(
+        self, service: str = 'bookings', **changes: typing.Any
+    ) -> errors.Failure:
+        """Assign a request that must be refused at once."""
+        task = self.begin(service, **changes)
+        await settle()
+        assert task.done()
+        return task.result().unwrap_err()
+
+    def begin(
+        self, service: str = 'bookings', **changes: typing.Any
+    ) -> asyncio.Task[Assigned]:
+        """Assign a request in a task."""
+        return asyncio.get_running_loop().create_task(
+            self.dispatcher.assign(self.request(service, **changes))
+        )
+
+    def finish(
+        self,
+        assignment: routing.Assignment,
+        observation: routing.Observation = ANSWERED,
+    ) -> None:
+        """Finish an assignment now."""
+        self.dispatcher.finish(assignment, observation, self.clock.now())
+
+    def tick(self, seconds: float = 0.1) -> None:
+        """Advance the clock and tick."""
+        self.clock.advance(seconds)
+        self.dispatcher.tick(self.clock.now())
+
+
+async def settle() -> None:
+    """Let tasks run until they wait."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+def two_servers(**parts: typing.Any) -> config.Documents:
+    """Return servers a and b in hobart and c in launceston, two slots each.
+
+    All weight is in hobart unless ``regions`` says otherwise.
+    """
+    regions = parts.pop('regions', {'hobart': 1.0})
+    servers = {
+        name: routing_fakes.server_doc('bookings', region)
+        for name, region in (
+            ('a', 'hobart'),
+            ('b', 'hobart'),
+            ('c', 'launceston'),
+        )
+    }
+    services = {'bookings': routing_fakes.service_doc(regions=regions)}
+    return routing_fakes.documents(services, servers, **parts)
+
+
+LINKS = {
+    f'{start}-{end}': {
+        'from_region': start,
+        'to_region': end,
+        'bytes_per_s': 1e6,
+        'burst_bytes': 1e6,
+    }
+    for start, end in (('hobart', 'launceston'), ('launceston', 'hobart'))
+}
+
+TWO_REGIONS = {'hobart': 1.0, 'launceston': 1e-6}
--- /dev/null
+++ b/tests/test_routing_regions.py
@@ -0,0 +1,289 @@
+"""Tests of the servers and regions that the dispatcher uses."""
+
+import collections
+import typing
+import unittest
+
+from filbertstep import errors
+from filbertstep import routing
+from tests import routing_bench
+from tests import routing_fakes
+
+
+class TestServers(unittest.IsolatedAsyncioTestCase):
+    """Which servers a request may run on."""
+
+    async def names(
+        self, bench: routing_bench.Bench, **changes: typing.Any
+    ) -> set[str]:
+        """Return the servers of two requests that run at a time."""
+        taken = [await bench.get(**changes) for _ in range(2)]
+        for item in taken:
+            bench.finish(item, routing_bench.ANSWERED)
+        return {item.server.name for item in taken}
+
+    async def test_excluded_server(self) -> None:
+        """Guards against a retry on the server that failed before."""
+        bench = routing_bench.Bench(routing_bench.two_servers())
+        found = await self.names(bench, exclude=frozenset({'a'}))
+        self.assertEqual({'b'}, found)
+        failure = await bench.refusal(exclude=frozenset({'a', 'b'}))
+        self.assertEqual(errors.ErrorKind.NO_ROOM, failure.kind)
+
+    async def test_drain_in_the_configuration(self) -> None:
+        """Guards against new work for a server that operators drain."""
+        bench = routing_bench.Bench(routing_bench.two_servers())
+        drain = {'target_kind': 'backend_server', 'target': 'a'}
+        bench.change(routing_bench.two_servers(drains={'d': drain}))
+        self.assertEqual({'b'}, await self.names(bench))
+
+    async def test_answer_that_says_draining(self) -> None:
+        """Guards against new work after an X-Draining header."""
+        bench = routing_bench.Bench(routing_bench.two_servers())
+        taken = await bench.get(exclude=frozenset({'b'}))
+        bench.finish(taken, routing_bench.ANSWERED._replace(draining=True))
+        self.assertEqual({'b'}, await self.names(bench))
+
+    async def test_failures_eject(self) -> None:
+        """Guards against requests for a server that refuses connections."""
+        bench = routing_bench.Bench(routing_bench.two_servers())
+        refused = routing.Observation(
+            routing.Outcome.CONNECT_FAILED, 0.0, 0, False
+        )
+        for _ in range(2):
+            taken = await bench.get(exclude=frozenset({'b'}))
+            bench.finish(taken, refused)
+        self.assertEqual({'b'}, await self.names(bench))
+
+    async def test_shedding_server_loses_weight(self) -> None:
+        """Guards against a server that reports idle and sheds."""
+        bench = routing_bench.Bench(routing_bench.two_servers())
+        bench.health.report_load('a', 0.0, bench.clock.now())
+        bench.health.report_load('b', 0.8, bench.clock.now())
+        shed = routing.Observation(routing.Outcome.SHED, 0.001, 0, False)
+        found = collections.Counter[str]()
+        for _ in range(100):
+            taken = await bench.get()
+            found[taken.server.name] += 1
+            bench.finish(
+                taken,
+                shed if taken.server.name == 'a' else routing_bench.ANSWERED,
+            )
+            bench.clock.advance(0.02)
+        self.assertLess(found['a'], 10)
+
+    async def test_slow_start_by_slot_number(self) -> None:
+        """Guards against a cold server on which all VMs use their slots."""
+        bench = routing_bench.Bench(routing_bench.two_servers())
+        for event in (routing.Event.PROBE_FAILED,) * 2:
+            bench.health.observe('a', event, bench.clock.now())
+        bench.health.observe('a', routing.Event.PROBE_UP, bench.clock.now())
+        only_a = frozenset({'b'})
+        taken = await bench.get(exclude=only_a)
+        self.assertEqual(0, taken.hold.slot)
+        deadline = bench.clock.now() + 30
+        waiting = bench.begin(exclude=only_a, deadline=deadline)
+        await routing_bench.settle()
+        self.assertFalse(waiting.done())
+        self.assertEqual(1, bench.slots.in_use('a'))
+        bench.tick(10.1)
+        await routing_bench.settle()
+        self.assertEqual(1, waiting.result().unwrap().hold.slot)
+
+    async def test_slow_start_needs_the_low_slots(self) -> None:
+        """Guards against a VM that owns only high slots and uses one."""
+        bench = routing_bench.Bench(routing_bench.two_servers())
+        bench.slots.owned['a'] = [1]
+        bench.health.rows['a'].ramp_since = bench.clock.now()
+        waiting = bench.begin(exclude=frozenset({'b'}))
+        await routing_bench.settle()
+        self.assertFalse(waiting.done())
+        self.assertEqual(0, bench.slots.in_use('a'))
+        waiting.cancel()
+
+
+class TestRegions(unittest.IsolatedAsyncioTestCase):
+    """Loans, spills, caps and link bytes."""
+
+    async def test_waits_for_a_loan_before_it_spills(self) -> None:
+        """Guards against shifts while peers have idle slots nearby."""
+        bench = routing_bench.Bench(
+            routing_bench.two_servers(regions=routing_bench.TWO_REGIONS)
+        )
+        bench.slots.owned.update(a=[], b=[])
+        bench.slots.others['hobart'] = 0.5
+        waiting = bench.begin()
+        await routing_bench.settle()
+        self.assertFalse(waiting.done())
+        self.assertEqual(1, bench.slots.wanted['bookings', 'hobart'])
+        bench.slots.owned['a'] = [0]
+        bench.dispatcher.wake('bookings')
+        await routing_bench.settle()
+        self.assertEqual('a', waiting.result().unwrap().server.name)
+        spilt = bench.begin()
+        await routing_bench.settle()
+        self.assertFalse(spilt.done())
+        bench.tick()
+        await routing_bench.settle()
+        self.assertEqual('c', spilt.result().unwrap().server.name)
+        self.assertTrue(spilt.result().unwrap().placement.moved)
+
+    async def test_full_region_spills_at_once(self) -> None:
+        """Guards against waiting beside idle servers."""
+        bench = routing_bench.Bench(
+            routing_bench.two_servers(regions=routing_bench.TWO_REGIONS)
+        )
+        for _ in range(4):
+            await bench.get()
+        taken = await bench.get()
+        self.assertEqual('launceston', taken.placement.region)
+
+    async def test_cap_holds_a_spill_back(self) -> None:
+        """Guards against a spill above the cap, or a needless refusal."""
+        caps = {'bookings': {'max_share': 0.0, 'interval_s': 10.0}}
+        bench = routing_bench.Bench(
+            routing_bench.two_servers(
+                regions=routing_bench.TWO_REGIONS, caps=caps
+            )
+        )
+        taken = [await bench.get() for _ in range(4)]
+        waiting = bench.begin()
+        await routing_bench.settle()
+        self.assertFalse(waiting.done())
+        bench.finish(taken[0])
+        await routing_bench.settle()
+        self.assertFalse(waiting.result().unwrap().placement.moved)
+
+    async def test_cap_with_a_dead_region_refuses_at_once(self) -> None:
+        """Guards against waiting for servers that are gone."""
+        caps = {'bookings': {'max_share': 0.0, 'interval_s': 10.0}}
+        bench = routing_bench.Bench(
+            routing_bench.two_servers(
+                regions=routing_bench.TWO_REGIONS, caps=caps
+            )
+        )
+        bench.finish(await bench.get())
+        for name in ('a', 'b'):
+            bench.health.rows[name].state = routing.State.DOWN
+        bench.clock.advance(1.0)
+        failure = await bench.refusal()
+        self.assertEqual(errors.ErrorKind.SHIFT_CAP, failure.kind)
+        self.assertEqual(9.0, failure.retry_after_s)
+        bench.health.rows['c'].state = routing.State.DOWN
+        bench.clock.advance(1.0)
+        failure = await bench.refusal()
+        self.assertEqual(errors.ErrorKind.NO_ROOM, failure.kind)
+
+    async def test_region_that_dies_under_waiters(self) -> None:
+        """Guards against waiters that nobody refuses."""
+        bench = routing_bench.Bench(routing_bench.two_servers())
+        for _ in range(4):
+            await bench.get()
+        waiting = bench.begin()
+        await routing_bench.settle()
+        for name in ('a', 'b'):
+            bench.health.rows[name].state = routing.State.DOWN
+        bench.tick()
+        await routing_bench.settle()
+        self.assertEqual(
+            errors.ErrorKind.NO_ROOM, waiting.result().unwrap_err().kind
+        )
+
+    def far(self, work: str = 'interactive') -> routing_bench.Bench:
+        """Return a bench whose only server is behind a link."""
+        service = routing_fakes.service_doc(work, {'launceston': 1.0})
+        bench = routing_bench.Bench(
+            routing_fakes.documents(
+                {'bookings': service},
+                {'c': routing_fakes.server_doc('bookings', 'launceston', 9)},
+                links=routing_bench.LINKS,
+            )
+        )
+        bench.shares.tokens = {
+            'link/hobart-launceston': 2000.0,
+            'link/launceston-hobart': 40_000.0,
+        }
+        return bench
+
+    async def test_link_bytes_are_settled(self) -> None:
+        """Guards against link shares that drift from what was sent."""
+        cases = (
+            (routing_bench.ANSWERED, 1500.0, 39_000.0),
+            (
+                routing_bench.ANSWERED._replace(answer_bytes=39_000),
+                1500.0,
+                1000.0,
+            ),
+            (
+                routing_bench.ANSWERED._replace(answer_bytes=90_000),
+                1500.0,
+                -50_000.0,
+            ),
+            (
+                routing.Observation(
+                    routing.Outcome.CONNECT_FAILED, 0.0, 0, False
+                ),
+                2000.0,
+                40_000.0,
+            ),
+            (
+                routing.Observation(routing.Outcome.SHED, 0.0, 200, False),
+                1500.0,
+                39_800.0,
+            ),
+        )
+        for observation, out, back in cases:
+            with self.subTest(observation=observation):
+                bench = self.far()
+                taken = await bench.get()
+                self.assertEqual(
+                    1500.0, bench.shares.tokens['link/hobart-launceston']
+                )
+                self.assertEqual(
+                    40_000 - 16_384,
+                    bench.shares.tokens['link/launceston-hobart'],
+                )
+                bench.finish(taken, observation)
+                self.assertEqual(
+                    {
+                        'link/hobart-launceston': out,
+                        'link/launceston-hobart': back,
+                    },
+                    bench.shares.tokens,
+                )
+
+    async def test_no_link_bytes(self) -> None:
+        """Guards against requests that overload a link."""
+        bench = self.far()
+        await bench.get()
+        await bench.get()
+        waiting = bench.begin()
+        await routing_bench.settle()
+        self.assertFalse(waiting.done())
+        self.assertEqual(2, bench.slots.total_in_use())
+        self.assertEqual(1000.0, bench.shares.tokens['link/hobart-launceston'])
+        self.assertIn('link/launceston-hobart', bench.shares.asked)
+        bench.shares.tokens['link/launceston-hobart'] = 20_000.0
+        bench.tick()
+        await routing_bench.settle()
+        self.assertTrue(waiting.done())
+
+    async def test_deferrable_work_leaves_a_reserve(self) -> None:
+        """Guards against deferrable answers that fill the link."""
+        for work, starts in (('interactive', True), ('deferrable', False)):
+            with self.subTest(work=work):
+                bench = self.far(work)
+                # A quarter of the burst of 1 MB is reserved.
+                bench.shares.tokens = dict.fromkeys(
+                    bench.shares.tokens, 251_000.0
+                )
+                task = bench.begin()
+                await routing_bench.settle()
+                self.assertEqual(starts, task.done())
+                bench.shares.tokens['link/launceston-hobart'] = 270_000.0
+                bench.tick()
+                await routing_bench.settle()
+                self.assertTrue(task.done())
+                left = bench.shares.tokens['link/launceston-hobart']
+                if not starts:
+                    self.assertEqual(270_000.0 - 16_384, left)
