--- a/filbertstep/_blocks.py
+++ b/filbertstep/_blocks.py
@@ -25,12 +25,12 @@
 V4_MAPPED: typing.Final = b'\x00' * 10 + b'\xff\xff'
 
 
-class Block(typing.NamedTuple):
-    """An address block: first and last address and site number."""
+Block = tuple[int, int, int]
+"""First address, negative last address, site number.
 
-    first: int
-    last: int
-    site: int
+Plain tuples in this form sort outer blocks before those inside them without a
+key function, which halves the time to build a table of 470,000 blocks.
+"""
 
 
 class Segments:
@@ -43,38 +43,41 @@
     def __init__(self, typecode: str, site_typecode: str) -> None:
         self.starts = array.array(typecode)
         self.sites = array.array(site_typecode)
+        self.last = (1 << (8 * self.starts.itemsize)) - 1
 
     def fill(self, blocks: list[Block]) -> None:
         """Flatten blocks, which nest or are disjoint but never overlap."""
-        # Outer blocks come before those inside them.
-        blocks.sort(key=lambda block: (block.first, -block.last))
+        blocks.sort()
         self.append(0, NO_SITE)
         around: list[Block] = []
         for block in blocks:
-            self.leave(around, block.first)
-            self.append(block.first, block.site)
+            first = block[0]
+            while around and -around[-1][1] < first:
+                self.leave(around)
+            self.append(first, block[2])
             around.append(block)
-        self.leave(around, None)
+        while around:
+            self.leave(around)
 
-    def leave(self, around: list[Block], until: int | None) -> None:
-        """End the blocks that are over before an address."""
-        while around and (until is None or around[-1].last < until):
-            over = around.pop()
-            site = around[-1].site if around else NO_SITE
-            self.append(over.last + 1, site)
+    def leave(self, around: list[Block]) -> None:
+        """End the innermost block; the one around it goes on."""
+        over = around.pop()
+        site = around[-1][2] if around else NO_SITE
+        self.append(1 - over[1], site)
 
     def append(self, start: int, site: int) -> None:
         """Begin a segment, which replaces an empty one before it."""
-        if start >= 1 << (8 * self.starts.itemsize):
+        starts, sites = self.starts, self.sites
+        if start > self.last:
             # The block reaches the last address.
             return
-        if self.starts and self.starts[-1] == start:
-            self.starts.pop()
-            self.sites.pop()
-        if self.sites and self.sites[-1] == site:
+        if starts and starts[-1] == start:
+            starts.pop()
+            sites.pop()
+        if sites and sites[-1] == site:
             return
-        self.starts.append(start)
-        self.sites.append(site)
+        starts.append(start)
+        sites.append(site)
 
     def find(self, address: int) -> int:
         """Return the number of the site of an address."""
@@ -123,7 +126,7 @@
         host_bits = bits - length
         first = parsed[1] >> host_bits << host_bits
         last = first | ((1 << host_bits) - 1)
-        (v6 if parsed[0] else v4).append(Block(first, last, site))
+        (v6 if parsed[0] else v4).append((first, -last, site))
 
     def find(self, address: str) -> str | None:
         """Return the site of an address, or None."""
--- a/filbertstep/_lookup.py
+++ b/filbertstep/_lookup.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+from concurrent import futures
 import itertools
 import typing
 
@@ -31,6 +32,11 @@
 # of a region to the one VM that was least burdened a moment ago.
 BURDEN_STEPS: typing.Final = 5
 
+# Block tables up to this size are built in a tick, which takes about 6 ms.
+# Larger ones are built in a thread: 470,000 blocks take about 3 s, for which
+# the event loop must not stand still.
+INLINE_BLOCKS: typing.Final = 2000
+
 # Seconds after which a caller asks again while this VM has no fresh evidence.
 RETRY_AFTER_S: typing.Final = 1.0
 
@@ -86,6 +92,10 @@
         self.burden = 0.0
         self.blocks = _blocks.BlockTable({})
         self.site_sections: dict[str, str] = {}
+        self.builder = futures.ThreadPoolExecutor(
+            max_workers=1, thread_name_prefix='blocks'
+        )
+        self.building: futures.Future[_blocks.BlockTable] | None = None
         self.prepared_for: object = None
         self.prepared: dict[
             tuple[str, str], collections.abc.Iterator[bytes]
@@ -117,11 +127,20 @@
             for name, key in view.head['sections'].items()
             if name.startswith(f'{config.Kind.SITE.value}/')
         }
-        if sections != self.site_sections:
-            self.site_sections = sections
-            self.blocks = _blocks.BlockTable(
-                {site.name: site.blocks for site in view.config.sites.values()}
-            )
+        if self.building is not None:
+            if not self.building.done():
+                return
+            self.blocks = self.building.result()
+            self.building = None
+        if sections == self.site_sections:
+            return
+        self.site_sections = sections
+        sites = {row.name: row.blocks for row in view.config.sites.values()}
+        if sum(map(len, sites.values())) <= INLINE_BLOCKS:
+            self.blocks = _blocks.BlockTable(sites)
+        else:
+            # Look-ups use the former table meanwhile.
+            self.building = self.builder.submit(_blocks.BlockTable, sites)
 
     def all_vms(self, now: float) -> list[systems.LiveVm]:
         """Return the live VMs and this one, with burdens in steps."""
--- a/filbertstep/caller.py
+++ b/filbertstep/caller.py
@@ -1,6 +1,6 @@
 """A small caller: look-up, failover and safe retries."""
 
 from filbertstep._caller import CallerClient as CallerClient
-from filbertstep._caller import command as command
-from filbertstep._caller import main as main
+from filbertstep._caller_command import command as command
+from filbertstep._caller_command import main as main
 from filbertstep._caller_state import CallAnswer as CallAnswer
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -1,5 +1,6 @@
 """Tests of client blocks and prepared answers."""
 
+from concurrent import futures
 import ipaddress
 import random
 import typing
@@ -402,6 +403,29 @@
         self.tick()
         self.assertEqual('vm-5', self.names('192.0.2.9')[0])
 
+    def test_large_tables_are_built_in_the_background(self) -> None:
+        """Guards against a tick that holds up the event loop."""
+        blocks = tuple(
+            f'10.{number >> 8}.{number & 255}.0/24' for number in range(3000)
+        )
+        view = make_view(2)
+        sites = {'x': config.Site('x', 'burnie', blocks)}
+        self.views.learn(
+            view._replace(
+                config=view.config._replace(sites=sites),
+                head={**view.head, 'sections': {'site/0': 'other'}},
+            ),
+            0.0,
+        )
+        before = self.system.blocks
+        self.tick()
+        self.assertIs(before, self.system.blocks)
+        assert self.system.building is not None
+        futures.wait([self.system.building], timeout=30)
+        self.tick()
+        self.assertEqual('x', self.system.blocks.find('10.11.1.9'))
+        self.assertEqual('vm-5', self.names('10.0.0.1')[0])
+
     def test_refusals(self) -> None:
         """Guards against answers from a VM whose evidence lapsed."""
         failure = self.system.answer('other', None).unwrap_err()
