--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -163,10 +163,12 @@
         response: aiohttp.ClientResponse,
         read: list[bytes],
         deadline: float,
+        on_close: collections.abc.Callable[[], object],
     ) -> None:
         self.response = response
         self.read = read
         self.deadline = deadline
+        self.on_close = on_close
 
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the pieces; raise ``BrokenAnswerError`` if it is cut."""
@@ -187,6 +189,7 @@
 
     def close(self) -> None:
         """Close the connection if the answer is not complete."""
+        self.on_close()
         if self.response.content.at_eof():
             self.response.release()
         else:
@@ -200,6 +203,7 @@
         self.connections = connections
         self.session: aiohttp.ClientSession | None = None
         self.running: dict[str, Sending] = {}
+        self.streams: dict[str, AnswerStream] = {}
 
     def start(self) -> aiohttp.ClientSession:
         """Return the session, which needs a running event loop."""
@@ -231,8 +235,13 @@
     def cancel(self, request_id: str) -> bool:
         """Close the connection of a running try, as for a withdrawn key.
 
-        The try's outcome is CANCELLED.  Returns whether it was running.
+        The try's outcome is CANCELLED, or its stream is cut.  Returns whether
+        it was running.
         """
+        stream = self.streams.get(request_id)
+        if stream is not None:
+            stream.close()
+            return True
         sending = self.running.get(request_id)
         if sending is None or sending.limit is None:
             return False
@@ -330,7 +339,13 @@
         if response.headers.get('X-Not-Run', '').lower() == 'true':
             kind = OutcomeKind.SHED
         if not complete and kind is OutcomeKind.ANSWERED:
-            stream = AnswerStream(response, pieces, sending.deadline)
+            stream = AnswerStream(
+                response,
+                pieces,
+                sending.deadline,
+                lambda: self.streams.pop(attempt.request_id, None),
+            )
+            self.streams[attempt.request_id] = stream
             return Outcome(kind, True, response.status, headers, stream=stream)
         if complete:
             response.release()
--- a/filbertstep/_intent_table.py
+++ b/filbertstep/_intent_table.py
@@ -6,6 +6,7 @@
 an id is accepted, hence no id can be recorded twice.
 """
 
+import collections
 import enum
 import typing
 
@@ -25,6 +26,10 @@
 # a record without an answer takes about 0.6 KB.
 MAX_RECORDS: typing.Final = 100_000
 
+# Records of one client account, so that one that asks for made-up ids leaves
+# room for the others.
+MAX_ACCOUNT_RECORDS: typing.Final = MAX_RECORDS // 2
+
 # The longest body of an answer that is kept, in bytes.
 MAX_STORED_BODY: typing.Final = 64 * 1024
 
@@ -153,9 +158,12 @@
         self,
         max_records: int = MAX_RECORDS,
         max_bytes: int = MAX_STORED_BYTES,
+        max_account_records: int = MAX_ACCOUNT_RECORDS,
     ) -> None:
         self.records: dict[Key, Record] = {}
         self.max_records = max_records
+        self.max_account_records = max_account_records
+        self.by_account: collections.Counter[str] = collections.Counter()
         self.budget = AnswerBudget(max_bytes)
 
     def apply(
@@ -202,7 +210,7 @@
         state, reply = TRANSITIONS[State.NONE, event]
         if state is State.NONE:
             return result.Ok(Applied(reply))
-        if len(self.records) >= self.max_records:
+        if self.full(key[0]):
             if event is Event.RESOLVE:
                 # Without a record 'not run' could become false later.
                 return result.Ok(Applied(Reply.OUTCOME_UNKNOWN))
@@ -214,8 +222,16 @@
                 )
             )
         self.records[key] = Record(state, digest, now, None)
+        self.by_account[key[0]] += 1
         return result.Ok(Applied(reply))
 
+    def full(self, account: str) -> bool:
+        """Tell whether an account's new record finds no room."""
+        return (
+            len(self.records) >= self.max_records
+            or self.by_account[account] >= self.max_account_records
+        )
+
     def prune(self, now: float) -> None:
         """Forget records that are past their lifetime."""
         oldest = now - RECORD_LIFETIME_S
@@ -226,6 +242,9 @@
             expired.append(key)
         for key in expired:
             self.budget.drop(self.records.pop(key).answer)
+            self.by_account[key[0]] -= 1
+        # Drops accounts without records.
+        self.by_account = +self.by_account
 
 
 def reused() -> result.Err[errors.Failure]:
--- a/filbertstep/_intents.py
+++ b/filbertstep/_intents.py
@@ -36,6 +36,7 @@
 from filbertstep import _intent_table
 from filbertstep import _request_ids
 from filbertstep import clock as clocks
+from filbertstep import config
 from filbertstep import errors
 from filbertstep import systems
 from filbertstep import transport
@@ -101,7 +102,7 @@
         account: str,
         request_id: str,
         digest: str,
-        wait_s: float = 0.0,
+        wait_s: float = config.MAX_DEADLINE_S,
     ) -> result.Result[Begun, errors.Failure]:
         """Return whether to run a request, before anything is sent.
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -438,6 +438,27 @@
         with self.assertRaises(delivery.BrokenAnswerError):
             await self.read(outcome)
 
+    async def test_cancelled_stream_is_cut(self) -> None:
+        """Guards against a stream that outlives its withdrawn key."""
+        server, address = await self.serve(replies(answer(self.LARGE)[:-1]))
+        outcome = await self.send(address)
+        assert outcome.stream is not None
+        reading = asyncio.create_task(self.read(outcome))
+        await asyncio.sleep(0.05)
+        self.assertTrue(self.forwarder.cancel('id-1'))
+        with self.assertRaises(delivery.BrokenAnswerError):
+            await asyncio.wait_for(reading, 5)
+        await asyncio.wait_for(server.closed.wait(), 5)
+        self.assertFalse(self.forwarder.cancel('id-1'))
+
+    async def test_stream_cut_before_it_is_read(self) -> None:
+        """Guards against an end of the stream that looks regular."""
+        _, address = await self.serve(replies(answer(self.LARGE)[:-1]))
+        outcome = await self.send(address)
+        self.assertTrue(self.forwarder.cancel('id-1'))
+        with self.assertRaises(delivery.BrokenAnswerError):
+            await self.read(outcome)
+
     async def test_unread_stream_is_closed(self) -> None:
         """Guards against connections that nobody reads."""
         server, address = await self.serve(replies(answer(self.LARGE)))
--- a/tests/test_intent_table.py
+++ b/tests/test_intent_table.py
@@ -193,6 +193,19 @@
         self.table.prune(START + 20 * 60)
         self.assertEqual({}, self.table.records)
 
+    def test_one_account_leaves_room_for_others(self) -> None:
+        """Guards against one tenant that fills the table."""
+        self.table = delivery.IntentTable(max_records=4, max_account_records=2)
+        for number in range(3):
+            for account, room in (('loud', number < 2), ('calm', True)):
+                if account == 'calm' and number == 2:
+                    continue
+                key = (account, f'vm-1~a~vm-2~b~100~{number}')
+                got = self.apply(E.INTEND, key=key)
+                self.assertEqual(room, isinstance(got, result.Ok))
+        self.table.prune(START + 20 * 60)
+        self.assertEqual(0, len(self.table.by_account))
+
     def test_large_answer_is_known_to_have_run(self) -> None:
         """Guards against a cut body that passes for the whole one."""
         limit = delivery.MAX_STORED_BODY
