--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -105,6 +105,7 @@
         self.sent = False
         self.cancelled = False
         self.limit: asyncio.Timeout | None = None
+        self.transport: asyncio.Transport | None = None
 
     def permit(self, request: aiohttp.ClientRequest) -> None:
         """Mark the request as sent, or raise to stop it."""
@@ -144,6 +145,7 @@
         if sending is not None:
             try:
                 sending.permit(req)
+                sending.transport = connection.transport
             except BaseException:
                 connection.release()
                 raise
@@ -161,10 +163,12 @@
         response: aiohttp.ClientResponse,
         read: list[bytes],
         deadline: float,
+        on_close: collections.abc.Callable[[], object],
     ) -> None:
         self.response = response
         self.read = read
         self.deadline = deadline
+        self.on_close = on_close
 
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the pieces; raise ``BrokenAnswerError`` if it is cut."""
@@ -185,6 +189,7 @@
 
     def close(self) -> None:
         """Close the connection if the answer is not complete."""
+        self.on_close()
         if self.response.content.at_eof():
             self.response.release()
         else:
@@ -198,6 +203,7 @@
         self.connections = connections
         self.session: aiohttp.ClientSession | None = None
         self.running: dict[str, Sending] = {}
+        self.streams: dict[str, AnswerStream] = {}
 
     def start(self) -> aiohttp.ClientSession:
         """Return the session, which needs a running event loop."""
@@ -229,8 +235,13 @@
     def cancel(self, request_id: str) -> bool:
         """Close the connection of a running try, as for a withdrawn key.
 
-        The try's outcome is CANCELLED.  Returns whether it was running.
+        The try's outcome is CANCELLED, or its stream is cut.  Returns whether
+        it was running.
         """
+        stream = self.streams.get(request_id)
+        if stream is not None:
+            stream.close()
+            return True
         sending = self.running.get(request_id)
         if sending is None or sending.limit is None:
             return False
@@ -315,6 +326,10 @@
         echoed = response.headers.get('X-Request-Id')
         if echoed is not None and echoed != attempt.request_id:
             response.close()
+            # An answer without a body has already given its connection back
+            # to the pool, where closing the answer does not reach it.
+            if sending.transport is not None:
+                sending.transport.close()
             return Outcome(
                 OutcomeKind.MISMATCHED, True, message='answer of another'
             )
@@ -326,7 +341,13 @@
         if response.headers.get('X-Not-Run', '').lower() == 'true':
             kind = OutcomeKind.SHED
         if not complete and kind is OutcomeKind.ANSWERED:
-            stream = AnswerStream(response, pieces, sending.deadline)
+            stream = AnswerStream(
+                response,
+                pieces,
+                sending.deadline,
+                lambda: self.streams.pop(attempt.request_id, None),
+            )
+            self.streams[attempt.request_id] = stream
             return Outcome(kind, True, response.status, headers, stream=stream)
         if complete:
             response.release()
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -244,10 +244,13 @@
 
     async def test_mismatch_closes_the_connection(self) -> None:
         """Guards against answers that stay crossed on a connection."""
-        foreign = answer(b'', 'X-Request-Id: id-2')
-        server, address = await self.serve(replies(foreign))
-        await self.send(address)
-        await asyncio.wait_for(server.closed.wait(), 5)
+        for body in (b'', b'body'):
+            with self.subTest(body=body):
+                foreign = answer(body, 'X-Request-Id: id-2')
+                server, address = await self.serve(replies(foreign))
+                await self.send(address)
+                await self.send(address)
+                self.assertEqual(2, server.connections)
 
     async def test_put_is_sent_once(self) -> None:
         """Guards against an HTTP client that repeats PUT by itself."""
@@ -435,6 +438,27 @@
         with self.assertRaises(delivery.BrokenAnswerError):
             await self.read(outcome)
 
+    async def test_cancelled_stream_is_cut(self) -> None:
+        """Guards against a stream that outlives its withdrawn key."""
+        server, address = await self.serve(replies(answer(self.LARGE)[:-1]))
+        outcome = await self.send(address)
+        assert outcome.stream is not None
+        reading = asyncio.create_task(self.read(outcome))
+        await asyncio.sleep(0.05)
+        self.assertTrue(self.forwarder.cancel('id-1'))
+        with self.assertRaises(delivery.BrokenAnswerError):
+            await asyncio.wait_for(reading, 5)
+        await asyncio.wait_for(server.closed.wait(), 5)
+        self.assertFalse(self.forwarder.cancel('id-1'))
+
+    async def test_stream_cut_before_it_is_read(self) -> None:
+        """Guards against an end of the stream that looks regular."""
+        _, address = await self.serve(replies(answer(self.LARGE)[:-1]))
+        outcome = await self.send(address)
+        self.assertTrue(self.forwarder.cancel('id-1'))
+        with self.assertRaises(delivery.BrokenAnswerError):
+            await self.read(outcome)
+
     async def test_unread_stream_is_closed(self) -> None:
         """Guards against connections that nobody reads."""
         server, address = await self.serve(replies(answer(self.LARGE)))
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -1,5 +1,6 @@
 """Tests of client blocks and prepared answers."""
 
+from concurrent import futures
 import ipaddress
 import random
 import typing
@@ -71,7 +72,8 @@
 def random_block(chance: random.Random, family: str) -> str:
     """Return an IPv4 /28 or an IPv6 /64 block."""
     if family == 'IPv4':
-        return v4_block(chance.getrandbits(32), 28)
+        a, b, c, d = (chance.getrandbits(28) << 4).to_bytes(4)
+        return f'{a}.{b}.{c}.{d}/28'
     parts = [f'{chance.getrandbits(16):x}' for _ in range(3)]
     return f'2001:{":".join(parts)}::/64'
 
@@ -402,6 +404,29 @@
         self.tick()
         self.assertEqual('vm-5', self.names('192.0.2.9')[0])
 
+    def test_large_tables_are_built_in_the_background(self) -> None:
+        """Guards against a tick that holds up the event loop."""
+        blocks = tuple(
+            f'10.{number >> 8}.{number & 255}.0/24' for number in range(3000)
+        )
+        view = make_view(2)
+        sites = {'x': config.Site('x', 'burnie', blocks)}
+        self.views.learn(
+            view._replace(
+                config=view.config._replace(sites=sites),
+                head={**view.head, 'sections': {'site/0': 'other'}},
+            ),
+            0.0,
+        )
+        before = self.system.blocks
+        self.tick()
+        self.assertIs(before, self.system.blocks)
+        assert self.system.building is not None
+        futures.wait([self.system.building], timeout=30)
+        self.tick()
+        self.assertEqual('x', self.system.blocks.find('10.11.1.9'))
+        self.assertEqual('vm-5', self.names('10.0.0.1')[0])
+
     def test_refusals(self) -> None:
         """Guards against answers from a VM whose evidence lapsed."""
         failure = self.system.answer('other', None).unwrap_err()
