Keep requests in their own region and spread moves over placed requests

The target split was the configured weights for every VM, so two thirds of all requests crossed regions and each needed a slot on loan from there. Moves were counted in a trailing window only; when a VM's other traffic ended, the share of moved requests in a later window of the fleet exceeded the cap.

A region now keeps its callers' requests (weight relative to the largest), and a VM earns the share of a move with each placed request and saves up one.

--- a/filbertstep/_shift.py
+++ b/filbertstep/_shift.py
@@ -19,6 +19,10 @@
 from filbertstep import errors
 from filbertstep import systems
 
+# Part of a cap that a VM uses.  Each VM may have one move saved up when a
+# window begins; the rest covers these moves of all VMs.
+CAP_MARGIN: typing.Final = 0.95
+
 Room = collections.abc.Mapping[str, float]
 
 
@@ -44,6 +48,7 @@
         # Splits of peers for services that this VM has not yet placed.
         self.offered: dict[str, _splits.Split] = {}
         self.targets: dict[str, _splits.Split] = {}
+        self.open_regions: dict[str, frozenset[str]] = {}
         self.targets_at = -math.inf
 
     def tick(self, now: float) -> None:
@@ -95,33 +100,76 @@
                 self.rows.pop(name, None)
 
     def target(self, service: config.Service, now: float) -> _splits.Split:
-        """Return the target split: weights of regions that may get work."""
+        """Return the target split of the callers of this VM's region."""
         # Kept for one tick, because placing one request needs it once.
         if not 0 <= now - self.targets_at < systems.TICK_S:
             self.targets = {}
+            self.open_regions = {}
             self.targets_at = now
         split = self.targets.get(service.name)
         if split is None:
-            usable = self.fleet.usable(service.name, now)
-            drained = self.fleet.drained(config.DrainTarget.REGION, now)
-            split = self.targets[service.name] = _splits.normal(
-                {
-                    region: weight
-                    for region, weight in service.regions.items()
-                    if region not in drained
-                    and region in usable
-                    and usable[region].servers
-                }
-            )
+            found = self.candidates(service, now)
+            self.open_regions[service.name] = frozenset(found)
+            split = self.targets[service.name] = self.home_split(found)
         return split
 
+    def open_now(self, service: config.Service, now: float) -> frozenset[str]:
+        """Return the regions that may get requests in this tick."""
+        self.target(service, now)
+        return self.open_regions[service.name]
+
+    def candidates(
+        self, service: config.Service, now: float
+    ) -> dict[str, float]:
+        """Return the weights of regions that may get requests."""
+        usable = self.fleet.usable(service.name, now)
+        drained = self.fleet.drained(config.DrainTarget.REGION, now)
+        return {
+            region: weight
+            for region, weight in positive(service.regions).items()
+            if region not in drained
+            and region in usable
+            and usable[region].servers
+        }
+
+    def home_split(self, weights: dict[str, float]) -> _splits.Split:
+        """Return the split of the callers of this VM's region.
+
+        Requests stay in the region, because links between regions are slow
+        and thin.  A region with less than the largest weight keeps that part
+        of its callers' requests and gives the rest to the others.
+        """
+        if not weights:
+            return {}
+        near = self.near(self.region)
+        home = min(
+            weights,
+            key=lambda region: (
+                region != self.region,
+                near.get(region, len(near)),
+                region,
+            ),
+        )
+        keep = weights[home] / max(weights.values())
+        others = _splits.normal(
+            {
+                region: weight
+                for region, weight in weights.items()
+                if region != home
+            }
+        )
+        split = {
+            region: share * (1 - keep) for region, share in others.items()
+        }
+        return _splits.normal({**split, home: keep})
+
     def row(self, service: config.Service, now: float) -> _splits.ShiftRow:
         """Return a service's row at the present interval."""
         row = self.rows.get(service.name)
         if row is None:
             reference = self.offered.pop(service.name, None)
             row = _splits.ShiftRow(
-                reference or _splits.normal(service.regions), now
+                reference or self.home_split(positive(service.regions)), now
             )
             self.rows[service.name] = row
         cap = self.views.shift_cap(service.name, now)
@@ -150,7 +198,13 @@
         if not row.reference:
             return no_room(service)
         reference, _ = _splits.locate(row.reference, point)
-        choices = self.choices(row.reference, target, reference, point)
+        choices = self.choices(
+            row.reference,
+            target,
+            self.open_now(service, now),
+            reference,
+            point,
+        )
         open_choices = [
             region for region in choices if room.get(region, 0.0) > 0
         ]
@@ -185,6 +239,7 @@
         self,
         split: _splits.Split,
         target: _splits.Split,
+        candidates: collections.abc.Iterable[str],
         reference: str,
         point: float,
     ) -> list[str]:
@@ -194,7 +249,7 @@
         wanted = _splits.target_region(split, target, point)
         near = self.near(wanted)
         others = sorted(
-            (region for region in target if region != wanted),
+            (region for region in candidates if region != wanted),
             key=lambda region: (near.get(region, len(near)), region),
         )
         # The reference region is last unless the target split has it: it may
@@ -217,7 +272,9 @@
             return True
         placed, moved = row.window(row.bucket_at(now))
         allowed = math.floor(cap.max_share * (placed + 1))
-        return moved + 1 <= allowed
+        return moved + 1 <= allowed and row.may_spend(
+            cap.max_share * CAP_MARGIN
+        )
 
     def count(
         self,
@@ -240,6 +297,9 @@
             sequence=row.sequence,
         )
         row.count(placement, 1)
+        cap = self.views.shift_cap(service.name, now)
+        share = 1.0 if cap is None else cap.max_share * CAP_MARGIN
+        row.earn(share, placement.moved)
         row.prune(bucket)
         return placement
 
@@ -254,6 +314,12 @@
         if row is not None and row.sequence == placement.sequence:
             row.sequence += 1
             row.count(placement, -1)
+            row.credit = row.credit_before
+
+
+def positive(weights: dict[str, float]) -> dict[str, float]:
+    """Return the weights above 0."""
+    return {region: weight for region, weight in weights.items() if weight > 0}
 
 
 def no_room(
--- a/filbertstep/_splits.py
+++ b/filbertstep/_splits.py
@@ -59,6 +59,9 @@
         self.net: dict[str, float] = {}
         self.sequence = 0
         self.untouched = True
+        self.credit = 0.0
+        # For the cancellation of the newest placement.
+        self.credit_before = 0.0
 
     def bucket_at(self, now: float) -> int:
         """Return the number of the bucket of a time."""
@@ -105,6 +108,22 @@
         self.placed = 0
         self.net = {}
 
+    def may_spend(self, share: float) -> bool:
+        """Tell whether the next request may move and earn its own share.
+
+        Moves are spread over the placed requests.  Counts of a window alone
+        would let a VM move many at once, and the share of moved requests in
+        a later window rises when its other traffic ends.
+        """
+        return self.credit + share >= 1.0 - EPSILON
+
+    def earn(self, share: float, moved: bool) -> None:
+        """Add a placed request's share of a move; a moved one takes one."""
+        self.credit_before = self.credit
+        self.credit += share
+        # At most one move is saved up while none is needed.
+        self.credit = self.credit - 1.0 if moved else min(1.0, self.credit)
+
     def prune(self, bucket: int) -> None:
         """Forget buckets that no trailing window reaches."""
         if len(self.buckets) > BUCKETS + 2:
--- a/filbertstep/_starts.py
+++ b/filbertstep/_starts.py
@@ -91,7 +91,7 @@
         )
         regions = {reference}
         if refused.err_value.kind is errors.ErrorKind.NO_ROOM:
-            regions |= {wanted, *self.shift.target(request.service, now)}
+            regions |= {wanted, *self.shift.open_now(request.service, now)}
         return any(
             situation.alive.get(region, frozenset()) - request.exclude
             for region in regions
