--- /dev/null
+++ b/tests/test_agreement_history.py
@@ -0,0 +1,202 @@
+"""Random histories of several VMs, checked against what the store held.
+
+Faults come in any order: loss, partitions, store outages and lost answers,
+freezes, deaths and new incarnations, and withdrawals of keys.
+"""
+
+import itertools
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from filbertstep import agreement
+from filbertstep import config
+from tests import agreement_cluster
+
+VMS: typing.Final = 4
+KEYS: typing.Final = 12
+
+vm_names = strategies.sampled_from([f'v{number}' for number in range(VMS)])
+some_vms = strategies.frozensets(vm_names)
+
+
+class History(stateful.RuleBasedStateMachine):
+    """Runs the agreement systems of four VMs and checks each step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = agreement_cluster.Cluster(VMS)
+        self.next_key = 0
+        self.frozen: set[str] = set()
+        # Digest that a ticket number withdraws, by the ticket's digest.
+        self.withdrawn: dict[str, str] = {}
+        self.gone: set[str] = set()
+        self.advance(3.0)
+        first = agreement_cluster.first_ticket(KEYS)
+        self.cluster.wait(
+            self.cluster.processes['v0'].agreement.submit(first)
+        ).unwrap()
+        self.advance(1.0)
+
+    def teardown(self) -> None:
+        """End the cluster."""
+        for vm in sorted(self.frozen):
+            self.cluster.thaw(vm)
+        self.cluster.close()
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass and check after each step."""
+        self.cluster.run(seconds, self.check)
+
+    @stateful.rule(groups=some_vms, cut=some_vms)
+    def split(self, groups: frozenset[str], cut: frozenset[str]) -> None:
+        """Separate some VMs from the others, and some from the store."""
+        self.cluster.groups = dict.fromkeys(groups, 1)
+        self.cluster.store_cut = cut
+
+    @stateful.rule()
+    def heal(self) -> None:
+        """End partitions, loss and outages."""
+        self.cluster.groups = {}
+        self.cluster.store_cut = frozenset()
+        self.cluster.loss = 0.0
+        self.cluster.store.down = False
+        self.cluster.store.delay_s = 0.0
+        self.advance(2.0)
+
+    @stateful.rule(loss=strategies.sampled_from([0.1, 0.5]))
+    def lose(self, loss: float) -> None:
+        """Lose a part of the messages between VMs."""
+        self.cluster.loss = loss
+
+    @stateful.rule(delay_s=strategies.sampled_from([0.3, 0.8, 1.5, 3.0]))
+    def slow_store(self, delay_s: float) -> None:
+        """Delay the store's calls."""
+        self.cluster.store.delay_s = delay_s
+
+    @stateful.rule(count=strategies.integers(1, 2))
+    def lose_answers(self, count: int) -> None:
+        """Lose the answers to the next writes."""
+        self.cluster.store.lose_answers = count
+
+    @stateful.rule()
+    def stop_store(self) -> None:
+        """Take the store down."""
+        self.cluster.store.down = True
+
+    @stateful.rule(vm=vm_names)
+    def freeze(self, vm: str) -> None:
+        """Freeze a VM."""
+        if vm in self.cluster.processes and vm not in self.frozen:
+            self.cluster.freeze(vm)
+            self.frozen.add(vm)
+
+    @stateful.rule()
+    def thaw(self) -> None:
+        """Let all frozen VMs go on."""
+        for vm in sorted(self.frozen):
+            self.cluster.thaw(vm)
+        self.frozen.clear()
+        self.advance(0.1)
+
+    @stateful.rule(vm=vm_names)
+    def kill_or_start(self, vm: str) -> None:
+        """End a VM's process, or start a new incarnation."""
+        if vm in self.frozen:
+            return
+        if vm in self.cluster.processes:
+            self.cluster.kill(vm)
+        else:
+            self.cluster.start(vm)
+
+    @stateful.rule(vms=strategies.lists(vm_names, min_size=1, max_size=2))
+    def withdraw(self, vms: list[str]) -> None:
+        """Let operators withdraw a key each, under one ticket number."""
+        for vm in vms:
+            process = self.cluster.processes.get(vm)
+            if process is None or self.next_key >= KEYS:
+                continue
+            newest = process.views.newest
+            number = 2 if newest is None else newest.head['ticket'] + 1
+            ticket = agreement_cluster.withdrawal(number, self.next_key)
+            checked = config.check(ticket).unwrap()
+            self.withdrawn[config.digest(checked)] = (
+                agreement_cluster.key_digest(self.next_key)
+            )
+            self.next_key += 1
+            self.cluster.spawn(process.agreement.submit(ticket))
+        self.advance(0.3)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.2, 1.0, 3.0, 6.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.advance(seconds)
+
+    def check(self) -> None:
+        """Check all promises now."""
+        now = self.cluster.clock.now()
+        self.check_index()
+        self.check_shares(now)
+        self.check_keys(now)
+
+    def check_index(self) -> None:
+        """Check that no known head index falls."""
+        for process in self.cluster.processes.values():
+            index = process.views.index()
+            assert index >= process.top_index, 'head index fell'
+            process.top_index = index
+
+    def check_shares(self, now: float) -> None:
+        """Check that the shares of VMs that may act are at most one."""
+        shares = {
+            vm: process.share(now)
+            for vm, process in self.cluster.processes.items()
+        }
+        assert sum(shares.values()) <= 1 + 1e-9, f'shares {shares}'
+
+    def check_keys(self, now: float) -> None:
+        """Check that withdrawn keys are refused."""
+        for process in self.cluster.processes.values():
+            for status in process.agreement.tickets():
+                if status.state is agreement.TicketState.ACCEPTED:
+                    digest = self.withdrawn.get(status.digest)
+                    self.gone.update(() if digest is None else (digest,))
+        good = self.recent_keys(now)
+        for vm, process in self.cluster.processes.items():
+            if vm in self.frozen or not process.agreement.fresh(now):
+                continue
+            for number in range(KEYS):
+                digest = agreement_cluster.key_digest(number)
+                if process.views.key_account(digest, now) is None:
+                    continue
+                assert digest in good, f'{vm} takes key {number}: lapsed'
+                assert digest not in self.gone, (
+                    f'{vm} takes key {number}: its withdrawal is accepted'
+                )
+
+    def recent_keys(self, now: float) -> set[str]:
+        """Return keys of all heads that were newest within the lifetime."""
+        heads = self.cluster.store.heads
+        oldest = now - config.EVIDENCE_LIFETIME_S
+        ends = [*[head.time for head in heads], now][1:]
+        return set(
+            itertools.chain.from_iterable(
+                head.keys
+                for head, end in zip(heads, ends, strict=True)
+                if end >= oldest
+            )
+        )
+
+
+TestHistory: type[unittest.TestCase] = History.TestCase
+TestHistory.settings = hypothesis.settings(  # type: ignore[attr-defined]
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=40,
+    stateful_step_count=14,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,130 @@
+"""Tests of the store's client against a small KV handler."""
+
+import base64
+import typing
+import unittest
+
+import aiohttp
+from aiohttp import test_utils
+from aiohttp import web
+import result
+
+from filbertstep import store
+
+KEY: typing.Final = 'filbertstep/head'
+
+
+class KvHandler:
+    """Answers as the KV API does for one key, and records queries."""
+
+    def __init__(self) -> None:
+        self.value: bytes | None = None
+        self.index = 7
+        self.status: int | None = None
+        self.break_after_write = False
+        self.queries: list[dict[str, str]] = []
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Answer a read."""
+        self.queries.append(dict(request.query))
+        headers = {'X-Consul-Index': str(self.index)}
+        if self.status is not None:
+            return web.Response(status=self.status)
+        if self.value is None:
+            return web.Response(status=404, headers=headers)
+        text = base64.b64encode(self.value).decode()
+        body = [
+            {
+                'LockIndex': 0,
+                'Key': request.match_info['key'],
+                'Flags': 0,
+                'Value': text,
+                'CreateIndex': 3,
+                'ModifyIndex': self.index,
+            }
+        ]
+        return web.json_response(body, headers=headers)
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Answer a write."""
+        cas = int(request.query['cas'])
+        if cas != (0 if self.value is None else self.index):
+            return web.Response(text='false\n')
+        self.value = await request.read()
+        self.index += 1
+        if self.break_after_write and request.transport is not None:
+            request.transport.close()
+        return web.Response(text='true\n')
+
+
+class TestConsulStore(unittest.IsolatedAsyncioTestCase):
+    """The published protocol, with errors sorted by their effect."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the handler."""
+        self.handler = KvHandler()
+        app = web.Application()
+        app.router.add_get('/v1/kv/{key:.*}', self.handler.get)
+        app.router.add_put('/v1/kv/{key:.*}', self.handler.put)
+        self.server = test_utils.TestServer(app)
+        await self.server.start_server()
+        self.session = aiohttp.ClientSession()
+        self.store = store.ConsulStore(
+            str(self.server.make_url('/')), self.session
+        )
+
+    async def asyncTearDown(self) -> None:
+        """Stop the handler."""
+        await self.session.close()
+        await self.server.close()
+
+    async def test_absent_then_written_then_read(self) -> None:
+        """Guards against wrong indexes and encodings."""
+        self.assertEqual(result.Ok(store.ABSENT), await self.store.get(KEY))
+        written = await self.store.put_cas(KEY, b'\x00one', 0)
+        self.assertEqual(result.Ok(True), written)
+        entry = (await self.store.get(KEY)).unwrap()
+        self.assertEqual(store.Entry(b'\x00one', 8), entry)
+        self.assertEqual(
+            result.Ok(False), await self.store.put_cas(KEY, b'two', 0)
+        )
+        self.assertIn('consistent', self.handler.queries[-1])
+
+    async def test_blocking_read_uses_the_index(self) -> None:
+        """Guards against a busy loop of reads that do not block."""
+        await self.store.wait(KEY, 0, 0.5)
+        await self.store.wait(KEY, 0, 0.5)
+        self.assertEqual(
+            {'consistent': '', 'index': '7', 'wait': '500ms'},
+            self.handler.queries[-1],
+        )
+        await self.store.wait(KEY, 5, 1.0)
+        self.assertEqual('5', self.handler.queries[-1]['index'])
+
+    async def test_error_status_is_unknown(self) -> None:
+        """Guards against a server error that reads as an absent key."""
+        self.handler.status = 500
+        self.assertEqual(
+            result.Err(store.StoreError.UNKNOWN), await self.store.get(KEY)
+        )
+
+    async def test_answer_lost_after_the_write(self) -> None:
+        """Guards against a write in effect that is reported as not sent.
+
+        aiohttp repeats the call, so that False is a possible answer too.
+        """
+        self.handler.break_after_write = True
+        answer = await self.store.put_cas(KEY, b'one', 0)
+        self.assertIn(
+            answer,
+            (result.Err(store.StoreError.UNKNOWN), result.Ok(False)),
+        )
+        self.assertEqual(b'one', self.handler.value)
+
+    async def test_refused_connection_is_not_sent(self) -> None:
+        """Guards against an undecided ticket when nothing was sent."""
+        await self.server.close()
+        self.assertEqual(
+            result.Err(store.StoreError.NOT_SENT),
+            await self.store.put_cas(KEY, b'one', 0),
+        )
