--- a/tests/agreement_cluster.py
+++ b/tests/agreement_cluster.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections.abc
 import random
-import selectors
 import typing
 
 import result
@@ -20,6 +19,7 @@
 from filbertstep import store
 from filbertstep import systems
 from filbertstep import transport
+from tests import virtual_time
 
 ONE_WAY_S: typing.Final = 0.012
 
@@ -30,34 +30,6 @@
 T = typing.TypeVar('T')
 
 
-class VirtualSelector(selectors.SelectSelector):
-    """Moves the clock instead of waiting."""
-
-    def __init__(self, fake: clock.FakeClock) -> None:
-        super().__init__()
-        self.fake = fake
-
-    def select(
-        self, timeout: float | None = None
-    ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Advance the clock by the time limit."""
-        if timeout is not None and timeout > 0:
-            self.fake.advance(timeout)
-        return super().select(0)
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time is a fake clock."""
-
-    def __init__(self, fake: clock.FakeClock) -> None:
-        super().__init__(VirtualSelector(fake))
-        self.fake = fake
-
-    def time(self) -> float:
-        """Return the fake time."""
-        return self.fake.now()
-
-
 class HeadRecord(typing.NamedTuple):
     """A head that became the newest in the store at a time."""
 
@@ -293,7 +265,7 @@
 
     def __init__(self, count: int, seed: int = 1) -> None:
         self.clock = clock.FakeClock()
-        self.loop = VirtualLoop(self.clock)
+        self.loop = virtual_time.VirtualLoop(self.clock)
         self.rng = random.Random(seed)
         self.store = RecordingStore(self.clock)
         self.vm_list = agreement.FakeVmList()
@@ -385,60 +357,3 @@
             asyncio.gather(*self.tasks, return_exceptions=True)
         )
         self.loop.close()
-
-
-SERVICE: typing.Final = {
-    'path_prefix': '/jobs',
-    'work': 'interactive',
-    'open': False,
-    'idempotent_methods': ['GET'],
-    'deadline_ms': 1000,
-    'max_body_bytes': 1000,
-    'queue_limit': 10,
-    'regions': {'a': 1.0},
-    'objective': {
-        'in_time_ms': 100,
-        'in_time_share': 0.99,
-        'served_share': 0.99,
-    },
-}
-
-
-def key_digest(number: int) -> str:
-    """Return the digest of the numbered test key."""
-    return f'{number:064x}'
-
-
-def first_ticket(keys: int) -> dict[str, typing.Any]:
-    """Return a ticket that creates a service, an account and keys."""
-    changes: list[dict[str, typing.Any]] = [
-        {
-            'kind': 'region',
-            'name': 'a',
-            'state': {'availability_zones': ['a1', 'a2']},
-        },
-        {'kind': 'service', 'name': 'jobs', 'state': SERVICE},
-        {
-            'kind': 'client_account',
-            'name': 'cafe',
-            'state': {'rate': 10, 'burst': 5, 'services': ['jobs']},
-        },
-    ]
-    changes.extend(
-        {
-            'kind': 'key',
-            'name': f'k{number}',
-            'state': {'client_account': 'cafe', 'digest': key_digest(number)},
-        }
-        for number in range(keys)
-    )
-    return {'number': 1, 'author': 'ann', 'changes': changes}
-
-
-def withdrawal(number: int, key: int) -> dict[str, typing.Any]:
-    """Return a ticket that deletes a key."""
-    return {
-        'number': number,
-        'author': 'ann',
-        'changes': [{'kind': 'key', 'name': f'k{key}', 'state': None}],
-    }
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -6,6 +6,7 @@
 from filbertstep import agreement
 from filbertstep import errors
 from tests import agreement_cluster
+from tests import ticket_samples
 
 
 class ClusterCase(unittest.TestCase):
@@ -18,7 +19,7 @@
         self.cluster = agreement_cluster.Cluster(self.count)
         self.addCleanup(self.cluster.close)
         self.cluster.run(3.0)
-        self.submit('v0', agreement_cluster.first_ticket(5))
+        self.submit('v0', ticket_samples.first_ticket(5))
         self.cluster.run(5.0)
 
     def node(self, vm: str) -> agreement.Agreement:
@@ -45,7 +46,7 @@
         """Tell whether a VM would run a request with a key."""
         process = self.cluster.processes[vm]
         now = self.cluster.clock.now()
-        digest = agreement_cluster.key_digest(key)
+        digest = ticket_samples.key_digest(key)
         return process.agreement.fresh(now) and (
             process.views.key_account(digest, now) is not None
         )
@@ -167,7 +168,7 @@
         self.cluster.run(6.0)
         self.assertEqual(['v0', 'v1', 'v2'], self.fresh())
         answer = self.cluster.wait(
-            self.node('v2').submit(agreement_cluster.withdrawal(2, 0))
+            self.node('v2').submit(ticket_samples.withdrawal(2, 0))
         )
         self.assertEqual(errors.ErrorKind.NO_QUORUM, answer.unwrap_err().kind)
 
@@ -196,7 +197,7 @@
         """Guards against a proposer's death that restricts for ever."""
         self.cluster.store.delay_s = 0.8
         task = self.cluster.spawn(
-            self.node('v0').submit(agreement_cluster.withdrawal(2, 0))
+            self.node('v0').submit(ticket_samples.withdrawal(2, 0))
         )
         pending = self.cluster.processes['v1'].views.pending
         for _ in range(100):
@@ -221,7 +222,7 @@
 
     def test_accepted_after_acknowledgement(self) -> None:
         """Guards against acceptance that always waits for the lapse."""
-        status = self.submit('v1', agreement_cluster.withdrawal(2, 0))
+        status = self.submit('v1', ticket_samples.withdrawal(2, 0))
         self.assertEqual(agreement.TicketState.COMMITTED, status.state)
         self.cluster.run(1.5)
         status = self.status('v1', 2)
@@ -232,7 +233,7 @@
         """Guards against acceptance that a lost VM blocks."""
         self.cluster.groups = {'v2': 1}
         self.cluster.store_cut = frozenset({'v2'})
-        self.submit('v1', agreement_cluster.withdrawal(2, 0))
+        self.submit('v1', ticket_samples.withdrawal(2, 0))
         self.cluster.run(2.0)
         state = self.status('v1', 2).state
         self.assertEqual(agreement.TicketState.COMMITTED, state)
@@ -243,19 +244,17 @@
 
     def test_same_ticket_twice_gets_the_first_outcome(self) -> None:
         """Guards against a repeat that is refused or applied twice."""
-        self.submit('v0', agreement_cluster.withdrawal(2, 0))
+        self.submit('v0', ticket_samples.withdrawal(2, 0))
         index = self.node('v0').views.index()
         self.cluster.run(1.0)
-        self.submit('v1', agreement_cluster.withdrawal(2, 0))
+        self.submit('v1', ticket_samples.withdrawal(2, 0))
         self.assertEqual(index, self.node('v1').views.index())
 
     def test_operators_race(self) -> None:
         """Guards against two tickets under one number."""
         tasks = [
             self.cluster.spawn(
-                self.node(f'v{key}').submit(
-                    agreement_cluster.withdrawal(2, key)
-                )
+                self.node(f'v{key}').submit(ticket_samples.withdrawal(2, key))
             )
             for key in range(3)
         ]
@@ -270,7 +269,7 @@
         """Guards against a committed ticket that is reported refused."""
         shared = self.cluster.store
         shared.after_head = lambda: setattr(shared, 'lose_answers', 1)
-        status = self.submit('v0', agreement_cluster.withdrawal(2, 0))
+        status = self.submit('v0', ticket_samples.withdrawal(2, 0))
         self.assertEqual(agreement.TicketState.COMMITTED, status.state)
         self.assertEqual(2, self.node('v0').status()['ticket'])
 
@@ -281,7 +280,7 @@
             self.cluster, 'store_cut', cut
         )
         task = self.cluster.spawn(
-            self.node('v0').submit(agreement_cluster.withdrawal(2, 0))
+            self.node('v0').submit(ticket_samples.withdrawal(2, 0))
         )
         self.cluster.run(30.0)
         self.assertTrue(task.done())
--- a/tests/test_agreement_history.py
+++ b/tests/test_agreement_history.py
@@ -15,6 +15,7 @@
 from filbertstep import agreement
 from filbertstep import config
 from tests import agreement_cluster
+from tests import ticket_samples
 
 VMS: typing.Final = 4
 KEYS: typing.Final = 12
@@ -35,7 +36,7 @@
         self.withdrawn: dict[str, str] = {}
         self.gone: set[str] = set()
         self.advance(3.0)
-        first = agreement_cluster.first_ticket(KEYS)
+        first = ticket_samples.first_ticket(KEYS)
         self.cluster.wait(
             self.cluster.processes['v0'].agreement.submit(first)
         ).unwrap()
@@ -121,10 +122,10 @@
                 continue
             newest = process.views.newest
             number = 2 if newest is None else newest.head['ticket'] + 1
-            ticket = agreement_cluster.withdrawal(number, self.next_key)
+            ticket = ticket_samples.withdrawal(number, self.next_key)
             checked = config.check(ticket).unwrap()
-            self.withdrawn[config.digest(checked)] = (
-                agreement_cluster.key_digest(self.next_key)
+            self.withdrawn[config.digest(checked)] = ticket_samples.key_digest(
+                self.next_key
             )
             self.next_key += 1
             self.cluster.spawn(process.agreement.submit(ticket))
@@ -228,7 +229,7 @@
             if vm in self.frozen or not process.agreement.fresh(now):
                 continue
             for number in range(KEYS):
-                digest = agreement_cluster.key_digest(number)
+                digest = ticket_samples.key_digest(number)
                 if process.views.key_account(digest, now) is None:
                     continue
                 assert digest in good, f'{vm} takes key {number}: lapsed'
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -8,7 +8,7 @@
 
 from filbertstep import config
 from filbertstep import errors
-from tests import agreement_cluster
+from tests import ticket_samples
 
 SERVER: typing.Final = {
     'service': 'jobs',
@@ -52,7 +52,7 @@
 
 def base() -> config.Documents:
     """Return documents with one service, server, account and two keys."""
-    raw = agreement_cluster.first_ticket(2)
+    raw = ticket_samples.first_ticket(2)
     raw['changes'].append(change('backend_server', 's1', SERVER))
     raw['changes'].append(
         change('region', 'b', {'availability_zones': ['b1']})
@@ -69,7 +69,7 @@
 
 ACCOUNT: typing.Final = {'rate': 1, 'burst': 1, 'services': ['jobs']}
 KEY: typing.Final = {'client_account': 'cafe', 'digest': 'f' * 64}
-SERVICE: typing.Final = agreement_cluster.SERVICE
+SERVICE: typing.Final = ticket_samples.SERVICE
 
 BAD_CASES: typing.Final = [
     BadCase(
@@ -102,19 +102,11 @@
     ),
     BadCase(
         'changes[0].state.digest',
-        [
-            change(
-                'key', 'x', {**KEY, 'digest': agreement_cluster.key_digest(0)}
-            )
-        ],
+        [change('key', 'x', {**KEY, 'digest': ticket_samples.key_digest(0)})],
     ),
     BadCase(
         'changes[0].state.digest',
-        [
-            change(
-                'key', 'k0', {**KEY, 'digest': agreement_cluster.key_digest(1)}
-            )
-        ],
+        [change('key', 'k0', {**KEY, 'digest': ticket_samples.key_digest(1)})],
     ),
     BadCase('changes[0].state.path_prefix', [change('service', 'x', SERVICE)]),
     BadCase(
