--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -242,6 +242,29 @@
         self.assertEqual(agreement.TicketState.ACCEPTED, state)
         self.assertFalse(self.accepts('v2', 0))
 
+    def test_accepted_only_when_a_guest_knows_it(self) -> None:
+        """Guards against acceptance while a joining VM takes the key.
+
+        v3 started while the store was down, so that no epoch names it.
+        """
+        self.cluster.store.down = True
+        self.cluster.list_vm('v3')
+        self.cluster.start('v3')
+        self.cluster.run(4.0)
+        self.assertTrue(self.accepts('v3', 0))
+        self.cluster.store.down = False
+        self.cluster.groups = {'v3': 1}
+        self.cluster.store_cut = frozenset({'v3'})
+        self.submit('v0', ticket_samples.withdrawal(2, 0))
+        self.cluster.run(1.5)
+        self.assertTrue(self.accepts('v3', 0))
+        state = self.status('v0', 2).state
+        self.assertEqual(agreement.TicketState.COMMITTED, state)
+        self.cluster.run(3.0)
+        self.assertFalse(self.accepts('v3', 0))
+        state = self.status('v0', 2).state
+        self.assertEqual(agreement.TicketState.ACCEPTED, state)
+
     def test_same_ticket_twice_gets_the_first_outcome(self) -> None:
         """Guards against a repeat that is refused or applied twice."""
         self.submit('v0', ticket_samples.withdrawal(2, 0))
