Do not say 'not run' of a request whose earlier try was sent

An idempotent request whose connection broke, or whose answer was another's, is tried once more. When that try got no slot, the caller was told that the request did not run, although the first try had. Ruled out: a repeat by the HTTP client, since the history has one placement and one run.

Such a request now ends as backend_failed with 'unknown'. tests/test_tries.py fails without the change.

--- a/filbertstep/_tries.py
+++ b/filbertstep/_tries.py
@@ -122,6 +122,8 @@
         self.tried: set[str] = set()
         self.repeated = False
         self.sending = False
+        # An earlier try was sent and had no answer of its own.
+        self.may_have_run = False
 
 
 class Tries:
@@ -325,6 +327,7 @@
             return await self.answered(progress, assignment, outcome, started)
         if outcome.failure is not None:
             return await self.not_run(progress, outcome.failure)
+        progress.may_have_run |= rule.run_may_continue
         progress.tried.add(assignment.server.name)
         if outcome.kind is delivery.OutcomeKind.BROKEN:
             self.strike(progress.job)
@@ -378,8 +381,12 @@
     async def not_run(
         self, progress: Progress, failure: errors.Failure
     ) -> Ended:
-        """End a request that was not run and never will be."""
+        """End a request whose last try was not run and never will be."""
         job = progress.job
+        if progress.may_have_run:
+            return await self.unknown(
+                progress, errors.ErrorKind.BACKEND_FAILED
+            )
         if progress.begun:
             await self.intents.withdraw(job.admitted.account, job.request_id)
         return Ended(failure=failure)
