Judge a try without a connection by itself only

The P8 checker read a failed connection of a second copy of an order as a refusal of the system that covers all tries. No answer came from the system; the caller knows only that this copy was not sent. Such a try is still reported when a run began after it was sent and no other try explains it.

--- a/filbertstep/_checkers_answers.py
+++ b/filbertstep/_checkers_answers.py
@@ -137,9 +137,12 @@
     """Tell whether a run belies an answer that said not run.
 
     For a request that may run once the answer is about all its tries so far;
-    otherwise about its own try, unless another one can have run it.
+    otherwise about its own try, unless another one can have run it.  A try
+    that found no connection got no answer, so it tells of itself alone.
     """
-    if not event['idempotent'] and begin['t'] <= event['t']:
+    answered = event['status'] != 0
+    once = answered and not event['idempotent']
+    if once and begin['t'] <= event['t']:
         return True
     return begin['t'] >= _violations.sent_at(event) and not any(
         one.sent_at <= begin['t']
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -331,6 +331,24 @@
         'unknown makes no promise',
         [ev.sent(1.0), ev.begin(1.5), ev.refused(2.0, ran='unknown')],
     ),
+    Case(
+        'a copy that found no connection tells of itself alone',
+        [
+            ev.sent(1.0),
+            ev.begin(1.5),
+            ev.sent(3.0, vm='vm-2'),
+            ev.refused(4.0, vm='vm-2', status=0, kind='connect_failed'),
+        ],
+    ),
+    Case(
+        'a try without a connection that ran',
+        [
+            ev.sent(1.0),
+            ev.begin(1.5),
+            ev.refused(2.0, status=0, kind='connect_failed'),
+        ],
+        [2.0],
+    ),
 ]
 
 P9 = [
