Claim blocks of ports, so that deployments do not share ports

Two deployments that start at the same time could choose the same port before either listened on it.

--- a/filbertstep/_processes.py
+++ b/filbertstep/_processes.py
@@ -19,19 +19,59 @@
 FIRST_PORT: typing.Final = 20_000
 LAST_PORT: typing.Final = 32_000
 
+# Ports that a process claims at once; a deployment with relays needs 152.
+BLOCK_PORTS: typing.Final = 200
+
 # Time in seconds that a process gets to end before it is killed.
 END_TIMEOUT_S: typing.Final = 10.0
 
 
+class PortPool:
+    """Ports of blocks that only this process uses.
+
+    Another process may choose ports at the same moment, and nothing listens on
+    them until the processes that get them have started.  So a process claims a
+    block by keeping its first port bound.
+    """
+
+    def __init__(self) -> None:
+        self.claims: list[socket.socket] = []
+        self.left: list[int] = []
+
+    def take(self, count: int) -> list[int]:
+        """Return ports on which nothing listens, different ones each call."""
+        found: list[int] = []
+        while len(found) < count:
+            if not self.left:
+                self.claim()
+            port = self.left.pop()
+            if is_free(port):
+                found.append(port)
+        return found
+
+    def claim(self) -> None:
+        """Claim one more block, or raise OSError when none is left."""
+        firsts = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+        random.SystemRandom().shuffle(firsts)
+        for first in firsts:
+            claim = socket.socket()
+            try:
+                claim.bind(('127.0.0.1', first))
+            except OSError:
+                claim.close()
+                continue
+            self.claims.append(claim)
+            self.left = list(range(first + 1, first + BLOCK_PORTS))
+            return
+        raise OSError('no block of ports is left')
+
+
+PORTS: typing.Final = PortPool()
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports on which nothing listens, different ones each call."""
-    source = random.SystemRandom()
-    found: list[int] = []
-    while len(found) < count:
-        port = source.randrange(FIRST_PORT, LAST_PORT)
-        if port not in found and is_free(port):
-            found.append(port)
-    return found
+    return PORTS.take(count)
 
 
 def is_free(port: int) -> bool:
