--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,9 @@
 test: $(STAMP)
 	$(BIN)/python -m tests.run
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seconds=$(SECONDS) --seed=$(SEED)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check filbertstep tests
 	$(BIN)/ruff check --select I filbertstep tests
--- a/filbertstep/_traffic.py
+++ b/filbertstep/_traffic.py
@@ -91,8 +91,10 @@
     async def __aenter__(self) -> 'RecordingClient':
         """Open connections from the source's own address."""
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, local_addr=(self.source.local_address, 0)
+            connector=caller.OnceConnector(
+                limit=0,
+                keepalive_timeout=caller.KEEPALIVE_S,
+                local_addr=(self.source.local_address, 0),
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
@@ -167,6 +169,8 @@
 class Traffic:
     """All callers of a deployment."""
 
+    client_type: type[RecordingClient] = RecordingClient
+
     def __init__(
         self,
         deployed: deployment.Deployment,
@@ -246,7 +250,7 @@
         rng = random.Random(self.random.getrandbits(64))
         end = loop.time() + seconds
         under_way: set[asyncio.Task[None]] = set()
-        client = RecordingClient(source, self.writer, rng.getrandbits(32))
+        client = self.client_type(source, self.writer, rng.getrandbits(32))
         async with client:
             at = loop.time()
             while source.rate > 0:
--- a/filbertstep/caller.py
+++ b/filbertstep/caller.py
@@ -3,6 +3,8 @@
 from filbertstep._caller import CallerClient as CallerClient
 from filbertstep._caller_command import command as command
 from filbertstep._caller_command import main as main
+from filbertstep._caller_connections import KEEPALIVE_S as KEEPALIVE_S
+from filbertstep._caller_connections import OnceConnector as OnceConnector
 from filbertstep._caller_state import CallAnswer as CallAnswer
 from filbertstep._caller_state import Progress as Progress
 from filbertstep._caller_state import Reply as Reply
--- /dev/null
+++ b/tests/proof_runs.py
@@ -0,0 +1,356 @@
+"""Runs of a whole deployment under failures, whose histories are checked.
+
+A scenario is a coroutine that disturbs a deployment while callers send
+traffic.  One client account sends several times its rate, and some callers
+send their orders twice at once.  Rates are a part of the example's, so that
+several processes can share a small machine.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+import shutil
+import tempfile
+import typing
+import unittest
+
+import uvloop
+
+from filbertstep import caller
+from filbertstep import checking
+from filbertstep import config
+from filbertstep import deployment
+from filbertstep import lookup
+from filbertstep import traffic
+
+# Part of the example's rates, and of those rates that each account offers.
+RATE_FACTOR: typing.Final = 0.4
+LOAD: typing.Final = 0.3
+GREEDY_FACTOR: typing.Final = 4.0
+
+# Part of the orders that are sent a second time while the first is under way,
+# and the longest time in seconds between the two.
+DOUBLE_SHARE: typing.Final = 0.3
+DOUBLE_PAUSE_S: typing.Final = 0.5
+
+# Tries of one request; more would only repeat refusals for the rate.
+MAX_ATTEMPTS: typing.Final = 6
+
+# Longest time in seconds for which a caller goes on.
+LONGEST_LIMIT_S: typing.Final = 8.0
+
+# Least numbers of a run that is not vacuous, by second of traffic: answered
+# orders in all, answered requests of each account that is not disturbed.
+ORDERS_PER_S: typing.Final = 2.0
+ACCOUNT_PER_S: typing.Final = 0.3
+
+# Environment variable with a directory that keeps the files of runs.
+KEEP_VARIABLE: typing.Final = 'FILBERTSTEP_KEEP_RUNS'
+
+Disturb = collections.abc.Callable[
+    ['Run'], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+class Scenario(typing.NamedTuple):
+    """A failure, and what the deployment needs for it.
+
+    ``spared`` are the accounts that must not be starved, by default all.
+    """
+
+    disturb: Disturb
+    seconds: float = 15.0
+    example: str = 'huon-burr'
+    options: dict[str, typing.Any] = {}
+    load: float = LOAD
+    mix: tuple[traffic.Kind, ...] = ()
+    upstreams: dict[str, int] = {}
+    orders_per_s: float = ORDERS_PER_S
+
+
+class Outcome(typing.NamedTuple):
+    """What a run showed; ``faults`` says how it was vacuous."""
+
+    violations: list[checking.Violation]
+    faults: list[str]
+    counts: dict[str, int]
+
+
+class DoublingClient(traffic.RecordingClient):
+    """A caller that sends some orders to two VMs at once."""
+
+    def __init__(
+        self, source: traffic.Source, writer: checking.Writer, seed: int
+    ) -> None:
+        super().__init__(source, writer, seed)
+        self.max_attempts = MAX_ATTEMPTS
+
+    async def attempt(
+        self, progress: caller.Progress, vm: lookup.LookupVmDoc
+    ) -> caller.Reply:
+        """Try once, and now and then send a second copy elsewhere."""
+        doubled = (
+            not progress.request.idempotent
+            and not progress.polling
+            and self.random.random() < DOUBLE_SHARE
+        )
+        if not doubled:
+            return await super().attempt(progress, vm)
+        first = asyncio.ensure_future(super().attempt(progress, vm))
+        # Lets the first copy choose the request id of both.
+        await asyncio.sleep(0)
+        copy = dataclasses.replace(progress, ids=list(progress.ids))
+        second = asyncio.ensure_future(self.send_copy(copy, vm))
+        try:
+            reply = await first
+        finally:
+            first.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await second
+        # The copy may still run after the first one was refused.
+        if copy.open_id:
+            progress.open_id = True
+        return reply
+
+    async def send_copy(
+        self, copy: caller.Progress, vm: lookup.LookupVmDoc
+    ) -> None:
+        """Send a copy of an order, to another VM if there is one."""
+        await asyncio.sleep(self.random.uniform(0, DOUBLE_PAUSE_S))
+        vms = await self.vms(copy.request.service)
+        others = [one for one in vms if one['vm'] != vm['vm']]
+        target = self.random.choice([*others, vm])
+        await super().attempt(copy, target)
+
+
+class ProofTraffic(traffic.Traffic):
+    """Callers of which some send orders twice."""
+
+    client_type = DoublingClient
+
+
+class Run:
+    """A deployment with traffic, as a scenario sees it."""
+
+    def __init__(
+        self, deployed: deployment.Deployment, callers: ProofTraffic, seed: int
+    ) -> None:
+        self.deployed = deployed
+        self.callers = callers
+        self.random = random.Random(f'scenario/{seed}')
+        plan = deployed.plan
+        self.greedy = min(
+            plan['client_accounts'],
+            key=lambda name: plan['client_accounts'][name]['rate'],
+        )
+        self.vms = sorted(deployed.vms)
+        # Things that a scenario found missing, and accounts that it disturbs.
+        self.faults: list[str] = []
+        self.disturbed: set[str] = set()
+        # What must hold of the whole history.
+        self.conditions: list[
+            collections.abc.Callable[[list[checking.AnyEvent]], list[str]]
+        ] = []
+        # Processes that must still run at the end are those not ended here.
+        self.ended: set[str] = set()
+
+    async def sleep(self, seconds: float) -> None:
+        """Let traffic run."""
+        await asyncio.sleep(seconds)
+
+    def outside(self, region: str) -> list[str]:
+        """Return the VMs that are not in a region."""
+        vms = self.deployed.vms
+        return [name for name in self.vms if vms[name].region != region]
+
+    def inside(self, region: str) -> list[str]:
+        """Return the VMs of a region."""
+        return [name for name in self.vms if name not in self.outside(region)]
+
+    async def kill(self, vm: str) -> None:
+        """Kill a VM."""
+        self.ended.add(vm)
+        await self.deployed.kill_node(vm)
+
+    async def stop(self, vm: str) -> None:
+        """Stop a VM as planned; it must end with status 0."""
+        self.ended.add(vm)
+        await self.deployed.stop_node(vm)
+        status = self.deployed.processes.status(vm)
+        if status != 0:
+            self.faults.append(f'{vm} ended with status {status}')
+
+    async def store(self, **faults: object) -> None:
+        """Change the faults of the store."""
+        await self.deployed.control('store', faults)
+
+    def victim(self) -> deployment.IssuedKey:
+        """Return a key to withdraw, which has callers."""
+        account = sorted(self.deployed.plan['client_accounts'])[2]
+        self.disturbed.add(account)
+        return next(
+            key for key in self.deployed.keys if key.client_account == account
+        )
+
+    async def withdraw(
+        self, key: deployment.IssuedKey, vm: str, timeout_s: float = 60.0
+    ) -> None:
+        """Withdraw a key, which must have worked and stop working."""
+        self.conditions.append(lambda events: withdrawal_seen(events, key))
+        await self.deployed.submit_changes(
+            [deployment.change(config.Kind.KEY, key.name, None)],
+            vm,
+            timeout_s,
+        )
+
+    async def drain(self, kind: str, target: str, vm: str) -> None:
+        """Drain a backend server or a region."""
+        state = {'target_kind': kind, 'target': target}
+        await self.deployed.submit_changes(
+            [deployment.change(config.Kind.DRAIN, f'd-{target}', state)], vm
+        )
+
+
+def withdrawal_seen(
+    events: list[checking.AnyEvent], key: deployment.IssuedKey
+) -> list[str]:
+    """Return what is missing for the withdrawal of a key to prove much."""
+    answers = [
+        event
+        for event in events
+        if event['event'] == 'answered' and event['key_name'] == key.name
+    ]
+    found = []
+    if not any(event['ran'] == 'yes' for event in answers):
+        found.append(f'{key.name} never worked')
+    if not any(event['kind'] == 'unauthorized' for event in answers):
+        found.append(f'{key.name} was never refused')
+    return found
+
+
+def scaled_plan(example: str) -> deployment.Plan:
+    """Return an example whose accounts have a part of their rates."""
+    plan = deployment.load(example)
+    for account in plan['client_accounts'].values():
+        account['rate'] *= RATE_FACTOR
+        account['burst'] *= RATE_FACTOR
+    return plan
+
+
+def mix(plan: deployment.Plan) -> list[traffic.Kind]:
+    """Return the usual mix, with callers that end soon after the traffic."""
+    return [
+        kind._replace(limit_s=min(kind.limit_s, LONGEST_LIMIT_S))
+        for kind in traffic.kinds(plan)
+    ]
+
+
+def vacuous(
+    events: list[checking.AnyEvent], run: Run, scenario: Scenario
+) -> tuple[list[str], dict[str, int]]:
+    """Return what a run lacks, and its counts."""
+    orders: set[str] = set()
+    accounts: collections.Counter[str] = collections.Counter()
+    double: collections.Counter[str] = collections.Counter()
+    kinds: collections.Counter[str] = collections.Counter()
+    for event in events:
+        if event['event'] == 'sent' and not event['idempotent']:
+            double[event['request_id']] += 1
+        if event['event'] != 'answered':
+            continue
+        kinds[event['kind'] or str(event['status'])] += 1
+        if event['status'] == 200 and event['complete']:
+            accounts[event['account']] += 1
+            if not event['idempotent']:
+                orders.add(event['family'])
+    counts = {
+        'orders': len(orders),
+        'sent twice': sum(count > 1 for count in double.values()),
+        **dict(sorted(kinds.items())),
+    }
+    found = list(run.faults)
+    for condition in run.conditions:
+        found.extend(condition(events))
+    least = scenario.orders_per_s * scenario.seconds
+    if len(orders) < least:
+        found.append(f'{len(orders)} orders answered, {least:.0f} expected')
+    if scenario.orders_per_s > 0 and counts['sent twice'] < least / 10:
+        found.append('hardly an order was sent twice')
+    for account in run.deployed.plan['client_accounts']:
+        least = ACCOUNT_PER_S * scenario.seconds
+        if account not in run.disturbed and accounts[account] < least:
+            found.append(f'{account}: {accounts[account]} requests answered')
+    return found, counts
+
+
+async def execute(scenario: Scenario, seed: int, directory: str) -> Outcome:
+    """Run a scenario and check its history."""
+    options = deployment.Options(
+        directory, seed, ready_timeout_s=40.0, **scenario.options
+    )
+    plan = scaled_plan(scenario.example)
+    for service, count in scenario.upstreams.items():
+        plan['services'][service]['upstreams'] = count
+    async with deployment.Deployment(plan, options) as deployed:
+        await deployed.start()
+        callers = ProofTraffic(deployed, seed, scenario.mix or mix(plan))
+        run = Run(deployed, callers, seed)
+        with contextlib.closing(callers):
+            await asyncio.gather(
+                callers.run(
+                    scenario.seconds,
+                    scenario.load,
+                    {run.greedy: GREEDY_FACTOR},
+                ),
+                scenario.disturb(run),
+            )
+        for vm in run.vms:
+            if vm not in run.ended and not deployed.processes.is_running(vm):
+                tail = deployed.processes.log_tail(vm)
+                run.faults.append(f'{vm} has ended:\n{tail}')
+        facts = deployed.facts()
+        # Nobody needs the planned stops that the end of the deployment would
+        # begin, and they take several seconds.
+        for vm in run.vms:
+            deployed.processes.kill(vm)
+    events = checking.read(pathlib.Path(directory) / 'history')
+    faults, counts = vacuous(events, run, scenario)
+    return Outcome(checking.check(events, facts), faults, counts)
+
+
+def run_scenario(name: str, scenario: Scenario, seed: int) -> Outcome:
+    """Run a scenario in a directory of its own."""
+    with tempfile.TemporaryDirectory(prefix='filbertstep-') as directory:
+        outcome = uvloop.run(execute(scenario, seed, directory))
+        kept = os.environ.get(KEEP_VARIABLE)
+        if kept:
+            shutil.copytree(
+                directory, f'{kept}/{name}-{seed}', dirs_exist_ok=True
+            )
+    return outcome
+
+
+def lines(outcome: Outcome, most: int = 20) -> list[str]:
+    """Return what a run showed as text."""
+    made = [
+        f'{row.promise} at {row.at:.3f}: {row.what}'
+        for row in outcome.violations
+    ]
+    return [*made[:most], *outcome.faults, str(outcome.counts)]
+
+
+class ProofCase(unittest.TestCase):
+    """Runs one scenario with one seed."""
+
+    seed = 1
+
+    def prove(self, name: str, scenario: Scenario) -> None:
+        """Fail with what a run violates or lacks."""
+        outcome = run_scenario(name, scenario, self.seed)
+        if outcome.violations or outcome.faults:
+            self.fail('\n'.join(lines(outcome)))
