--- a/tests/proof_runs.py
+++ b/tests/proof_runs.py
@@ -19,6 +19,7 @@
 import typing
 import unittest
 
+import aiohttp
 import uvloop
 
 from filbertstep import caller
@@ -42,13 +43,19 @@
 MAX_ATTEMPTS: typing.Final = 6
 
 # Longest time in seconds for which a caller goes on.
-LONGEST_LIMIT_S: typing.Final = 8.0
+LONGEST_LIMIT_S: typing.Final = 6.0
 
 # Least numbers of a run that is not vacuous, by second of traffic: answered
 # orders in all, answered requests of each account that is not disturbed.
 ORDERS_PER_S: typing.Final = 2.0
 ACCOUNT_PER_S: typing.Final = 0.3
 
+# Service that intruders ask for, pause in seconds between two of them, and the
+# time in seconds that they wait.
+SERVICE: typing.Final = 'bookings'
+INTRUSION_GAP_S: typing.Final = 0.2
+INTRUSION_LIMIT_S: typing.Final = 2.0
+
 # Environment variable with a directory that keeps the files of runs.
 KEEP_VARIABLE: typing.Final = 'FILBERTSTEP_KEEP_RUNS'
 
@@ -216,6 +223,98 @@
         )
 
 
+class Intrusion(typing.NamedTuple):
+    """A request that must not run, or not as it claims.
+
+    ``authorization``, ``query``, ``body`` and ``cookie`` are built from the
+    key of an account; ``key_name`` is what the history says of it.
+    """
+
+    name: str
+    authorization: str
+    query: str = ''
+    body: str = ''
+    extra: tuple[tuple[str, str], ...] = ()
+    keyed: bool = True
+
+
+INTRUSIONS: typing.Final = (
+    Intrusion('no key', '', keyed=False),
+    Intrusion('unknown key', 'Bearer fbk-unknown', keyed=False),
+    Intrusion('cut key', 'Bearer {half}', keyed=False),
+    Intrusion('key in the query', 'Bearer {key}', query='?token={key}'),
+    Intrusion('key in the body', 'Bearer {key}', body='{{"a":"{key}"}}'),
+    Intrusion(
+        'key in other headers',
+        'Bearer {key}',
+        extra=(
+            ('Cookie', 'session={key}; theme=dark'),
+            ('X-Api-Token', '{key}'),
+            ('Referer', 'http://shop.example/?token={key}'),
+        ),
+    ),
+    Intrusion(
+        "another account's name",
+        'Bearer {key}',
+        extra=(('X-Client-Account', '{other}'),),
+    ),
+)
+
+
+async def intrude(run: Run, seconds: float) -> None:
+    """Send requests without a right key, or with keys in wrong places."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    number = 0
+    while loop.time() < end:
+        intrusion = INTRUSIONS[number % len(INTRUSIONS)]
+        number += 1
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            await send_intrusion(run, intrusion, f'intrusion-{number}')
+        await asyncio.sleep(INTRUSION_GAP_S)
+
+
+async def send_intrusion(
+    run: Run, intrusion: Intrusion, request_id: str
+) -> None:
+    """Send one intrusion to a random VM."""
+    keys = run.deployed.keys
+    key, other = keys[0], keys[1]
+    vm = run.random.choice(run.vms)
+    values = {
+        'key': key.secret,
+        'half': key.secret[: len(key.secret) // 2],
+        'other': other.client_account,
+    }
+    run.callers.writer.write(
+        'sent',
+        request_id=request_id,
+        family=request_id,
+        account=key.client_account if intrusion.keyed else '',
+        key_name=key.name if intrusion.keyed else '',
+        vm=vm,
+        service=SERVICE,
+        method='GET',
+        idempotent=True,
+        body_digest='',
+    )
+    headers = {'X-Request-Id': request_id}
+    if intrusion.authorization:
+        headers['Authorization'] = intrusion.authorization.format(**values)
+    for name, value in intrusion.extra:
+        headers[name] = value.format(**values)
+    session = run.deployed.session
+    assert session is not None
+    url = run.deployed.nodes[vm].callers
+    async with session.get(
+        f'{url}/{SERVICE}/items{intrusion.query.format(**values)}',
+        headers=headers,
+        data=intrusion.body.format(**values) or None,
+        timeout=aiohttp.ClientTimeout(total=INTRUSION_LIMIT_S),
+    ) as answer:
+        await answer.read()
+
+
 def withdrawal_seen(
     events: list[checking.AnyEvent], key: deployment.IssuedKey
 ) -> list[str]:
@@ -308,6 +407,7 @@
                     {run.greedy: GREEDY_FACTOR},
                 ),
                 scenario.disturb(run),
+                intrude(run, scenario.seconds),
             )
         for vm in run.vms:
             if vm not in run.ended and not deployed.processes.is_running(vm):
--- a/tests/proof_scenarios.py
+++ b/tests/proof_scenarios.py
@@ -26,20 +26,31 @@
 # Backend servers as processes of their own are fewer, to spare the machine.
 FEW: typing.Final = {'bookings': 9, 'calibration': 6}
 
+# The usual mix with some answers that are too large to be read whole first.
 STREAMS: typing.Final = (
     traffic.Kind('bookings', 'GET', '/bookings/items', True, 8.0, 0.55),
     traffic.Kind('bookings', 'POST', '/bookings/items', False, 8.0, 0.2),
-    traffic.Kind('calibration', 'GET', '/calibration/items', True, 12.0, 0.2),
+    traffic.Kind('calibration', 'GET', '/calibration/items', True, 8.0, 0.23),
     traffic.Kind(
         'calibration',
         'GET',
-        '/calibration/items?bytes=1500000&stream_ms=8000',
+        '/calibration/items?run_ms=50&bytes=1500000&stream_ms=2000',
         True,
-        12.0,
-        0.05,
+        8.0,
+        0.02,
     ),
 )
 
+# An answer that takes nearly the longest deadline (10 s), and how many of them
+# are read when their key is withdrawn.
+LONG_STREAM: typing.Final = (
+    '/calibration/items?run_ms=50&bytes=1500000&stream_ms=9000'
+)
+LONG_STREAMS: typing.Final = 6
+
+# Time in seconds after which a withdrawn key no longer works.
+WITHDRAWAL_BOUND_S: typing.Final = 9.0
+
 
 async def kill_processes(run: proof_runs.Run) -> None:
     """Kill a VM and a backend server, each with SIGKILL."""
@@ -119,8 +130,10 @@
 
 
 async def crash_and_kill(run: proof_runs.Run) -> None:
-    """Kill processes while a request crashes servers."""
-    await asyncio.gather(crash_servers(run), kill_processes(run))
+    """Kill processes while a request crashes servers and a key ends."""
+    await asyncio.gather(
+        crash_servers(run), kill_processes(run), withdraw_from_connected(run)
+    )
 
 
 async def freeze_vm(run: proof_runs.Run) -> None:
@@ -225,6 +238,13 @@
     run.conditions.append(lambda events: served_again(events, starting))
 
 
+async def store_and_tickets(run: proof_runs.Run) -> None:
+    """Race on tickets, then an outage, then lost answers."""
+    await race(run)
+    await store_down(run)
+    await store_loses_answers(run)
+
+
 def served_again(events: list[checking.AnyEvent], vm: str) -> list[str]:
     """Return a fault unless the second process of a VM placed requests."""
     processes = {
@@ -246,6 +266,7 @@
 
 async def store_loses_answers(run: proof_runs.Run) -> None:
     """Lose the answers of writes that take effect."""
+    await run.sleep(2)
     await run.store(lose_answers=1)
     await run.withdraw(run.victim(), run.vms[1])
     await run.store(lose_answer_probability=0.5)
@@ -320,31 +341,114 @@
 
 
 async def false_reports(run: proof_runs.Run) -> None:
-    """Freeze load reports and let some servers report no load."""
+    """Freeze load reports, let some be false, and fill all slots.
+
+    Then kill a VM, whose slots and loans others take over.
+    """
+    await report_falsely(run)
+    await run.sleep(2)
+    for name, server in run.deployed.servers.items():
+        if server.service == 'bookings':
+            await run.deployed.control_server(name, mean_ms=1200.0)
+    await run.sleep(3)
+    await run.kill(run.random.choice(run.vms))
+    run.conditions.append(lambda events: slots_filled(run, events))
+
+
+async def report_falsely(run: proof_runs.Run) -> None:
+    """Freeze load reports, and let a third of the servers report none."""
     for name in run.deployed.servers:
         await run.deployed.control_server(name, load_lag_s=30.0)
     for name in list(run.deployed.servers)[::3]:
         await run.deployed.control_server(name, reported_load=0.0)
-    await run.sleep(3)
-    # Slower servers need more of their slots than any report says.
-    for name in list(run.deployed.servers)[::2]:
-        await run.deployed.control_server(name, mean_ms=400.0)
+
+
+def slots_filled(
+    run: proof_runs.Run, events: list[checking.AnyEvent]
+) -> list[str]:
+    """Return a fault unless most servers had all slots in use at a time."""
+    plan = run.deployed.plan['services']['bookings']
+    full = {
+        event['server']
+        for event in events
+        if event['event'] == 'begin'
+        and event['service'] == 'bookings'
+        and event['running'] >= plan['slots']
+    }
+    if 2 * len(full) > plan['upstreams']:
+        return []
+    return [f'only {len(full)} servers had all slots in use']
 
 
 async def withdraw_from_connected(run: proof_runs.Run) -> None:
+    """Withdraw a key whose answers are being read."""
+    await run.sleep(3)
+    key = run.victim()
+    source = next(
+        source for source in run.callers.sources(0.0, {}) if source.key == key
+    )
+    client = traffic.RecordingClient(source, run.callers.writer, 1)
+    client.try_timeout_s = 14.0
+    async with client:
+        streams = [
+            asyncio.ensure_future(
+                client.call('calibration', 'GET', LONG_STREAM, deadline_s=14.0)
+            )
+            for _ in range(LONG_STREAMS)
+        ]
+        await run.sleep(1)
+        await run.withdraw(key, run.random.choice(run.vms))
+        await asyncio.gather(*streams)
+    run.conditions.append(lambda events: streams_ended(events, key))
+
+
+async def withdraw_from_waiting(run: proof_runs.Run) -> None:
     """Withdraw a key whose requests wait, run and are streamed."""
     for name, server in run.deployed.servers.items():
         if server.service == 'calibration':
-            await run.deployed.control_server(name, mean_ms=1500.0)
-    await run.sleep(4)
-    await run.withdraw(run.victim(), run.random.choice(run.vms))
+            await run.deployed.control_server(name, mean_ms=2500.0)
+    await withdraw_from_connected(run)
 
 
-async def crossed_and_cut(run: proof_runs.Run) -> None:
+def streams_ended(
+    events: list[checking.AnyEvent], key: deployment.IssuedKey
+) -> list[str]:
+    """Return faults unless running answers of a key were ended in time."""
+    own = {
+        event['request_id']
+        for event in events
+        if event['event'] == 'sent' and event['key_name'] == key.name
+    }
+    withdrawn_at = next(
+        event['t']
+        for event in events
+        if event['event'] == 'ticket_committed' and event['number'] == 2
+    )
+    ends = [
+        event
+        for event in events
+        if event['event'] in ('end', 'cancel') and event['request_id'] in own
+    ]
+    found = [
+        f'an answer of {key.name} ended {late:.1f} s after the withdrawal'
+        for event in ends
+        if (late := event['t'] - withdrawn_at) > WITHDRAWAL_BOUND_S
+    ]
+    if not any(
+        event['event'] == 'cancel' and event['t'] > withdrawn_at
+        for event in ends
+    ):
+        found.append(f'no running answer of {key.name} was ended')
+    return found
+
+
+async def crossed_and_cut(
+    run: proof_runs.Run, probability: float = 0.05
+) -> None:
     """Let backend servers cross and cut answers."""
     for name in run.deployed.servers:
         await run.deployed.control_server(
-            name, crossed_probability=0.05, cut_probability=0.05
+            name, crossed_probability=probability, cut_probability=probability
         )
     run.conditions.append(crossings_seen)
 
@@ -359,10 +463,8 @@
 
 
 async def answers(run: proof_runs.Run) -> None:
-    """Withdraw a key while answers are crossed and reports are false."""
+    """Withdraw a key while answers are crossed and cut."""
     await crossed_and_cut(run)
-    for name in list(run.deployed.servers)[::3]:
-        await run.deployed.control_server(name, reported_load=0.0)
     await withdraw_from_connected(run)
 
 
@@ -376,10 +478,17 @@
     await run.store(delay_s=0.0)
 
 
+async def stops_and_answers(run: proof_runs.Run) -> None:
+    """Stop and drain while answers are crossed and cut, reports false."""
+    await crossed_and_cut(run, 0.02)
+    await report_falsely(run)
+    await planned_stops(run)
+
+
 async def drain_both(run: proof_runs.Run, vm: str) -> None:
-    """Drain a backend server, then a region."""
-    await run.drain('backend_server', 'bookings-1', vm)
+    """Drain a region, then a backend server in another one."""
     await run.drain('region', 'launceston', vm)
+    await run.drain('backend_server', 'bookings-1', vm)
 
 
 async def server_drains(run: proof_runs.Run) -> None:
@@ -407,7 +516,7 @@
 
 SCENARIOS: typing.Final[dict[str, proof_runs.Scenario]] = {
     'crash_and_kill': Scenario(
-        crash_and_kill, 14.0, options=SEPARATE, upstreams=FEW
+        crash_and_kill, 15.0, options=SEPARATE, upstreams=FEW, mix=STREAMS
     ),
     'kill': Scenario(kill_processes, 15.0, options=SEPARATE, upstreams=FEW),
     'crash': Scenario(crash_servers, 15.0, options=SEPARATE, upstreams=FEW),
@@ -418,15 +527,17 @@
     'cut_store_region': Scenario(cut_store_region, 20.0, options=RELAYS),
     'cut_vm_and_region': Scenario(cut_vm_and_region, 16.0, options=RELAYS),
     'store_down': Scenario(store_down, 18.0),
+    'store_and_tickets': Scenario(store_and_tickets, 24.0),
     'store_slow': Scenario(store_slow, 15.0),
     'lost_answers': Scenario(store_loses_answers, 15.0),
     'race': Scenario(race, 12.0),
     'tickets': Scenario(tickets_and_store, 18.0),
-    'false_reports': Scenario(false_reports, 15.0),
-    'withdrawal': Scenario(withdraw_from_connected, 16.0, mix=STREAMS),
+    'false_reports': Scenario(false_reports, 15.0, orders_per_s=1.0),
+    'withdrawal': Scenario(withdraw_from_waiting, 16.0, mix=STREAMS),
     'crossed': Scenario(crossed_and_cut, 12.0),
     'answers': Scenario(answers, 16.0, mix=STREAMS),
     'stops': Scenario(planned_stops, 16.0),
+    'stops_and_answers': Scenario(stops_and_answers, 16.0),
     'server_drains': Scenario(server_drains, 14.0),
     'region_gone': Scenario(region_gone, 18.0),
 }
--- a/tests/test_proofs_agreement.py
+++ b/tests/test_proofs_agreement.py
@@ -23,17 +23,12 @@
         )
 
 
-class TestStoreDown(proof_runs.ProofCase):
-    """A VM killed and another one started while the store is down."""
+class TestStoreAndTickets(proof_runs.ProofCase):
+    """Racing operators, a store outage with a death, lost answers."""
 
     def test_promises_hold(self) -> None:
-        """Guards against shares and slots taken over too early."""
-        self.prove('store_down', proof_scenarios.SCENARIOS['store_down'])
-
-
-class TestTickets(proof_runs.ProofCase):
-    """Racing operators and lost answers of the store."""
-
-    def test_promises_hold(self) -> None:
-        """Guards against a ticket taken twice, or taken and then lost."""
-        self.prove('tickets', proof_scenarios.SCENARIOS['tickets'])
+        """Guards against tickets taken twice and shares taken too early."""
+        self.prove(
+            'store_and_tickets',
+            proof_scenarios.SCENARIOS['store_and_tickets'],
+        )
--- a/tests/test_proofs_answers.py
+++ b/tests/test_proofs_answers.py
@@ -1,22 +1,25 @@
-"""Proofs under backend servers that mislead, cross, cut and crash."""
+"""Proofs under servers that mislead, cross, cut and crash."""
 
 from tests import proof_runs
 from tests import proof_scenarios
 
 
-class TestAnswers(proof_runs.ProofCase):
-    """Crossed and cut answers, false reports, a withdrawn key."""
+class TestCrashAndKill(proof_runs.ProofCase):
+    """A request that crashes servers, killed processes, a withdrawn key."""
 
     def test_promises_hold(self) -> None:
-        """Guards against foreign answers and keys that work on."""
-        self.prove('answers', proof_scenarios.SCENARIOS['answers'])
+        """Guards against orders that run twice and streams that go on."""
+        self.prove(
+            'crash_and_kill', proof_scenarios.SCENARIOS['crash_and_kill']
+        )
 
 
-class TestCrashAndKill(proof_runs.ProofCase):
-    """A request that crashes servers, a killed VM and a killed server."""
+class TestStopsAndAnswers(proof_runs.ProofCase):
+    """Planned stops and drains while answers are crossed and cut."""
 
     def test_promises_hold(self) -> None:
-        """Guards against orders that run twice and a request of death."""
+        """Guards against a stop that cuts requests, and foreign answers."""
         self.prove(
-            'crash_and_kill', proof_scenarios.SCENARIOS['crash_and_kill']
+            'stops_and_answers',
+            proof_scenarios.SCENARIOS['stops_and_answers'],
         )
