--- a/filbertstep/_caller.py
+++ b/filbertstep/_caller.py
@@ -57,7 +57,9 @@
         max_attempts: int = MAX_ATTEMPTS,
         try_timeout_s: float = TRY_TIMEOUT_S,
         seed: int | None = None,
+        local_address: str | None = None,
     ) -> None:
+        self.local_address = local_address
         self.lookup_urls = [url.rstrip('/') for url in lookup_urls]
         self.key = key
         self.deadline_s = deadline_s
@@ -72,10 +74,14 @@
 
     async def __aenter__(self) -> 'CallerClient':
         """Open the client's connections."""
+        local = None
+        if self.local_address is not None:
+            local = (self.local_address, 0)
         self.session = aiohttp.ClientSession(
             connector=_caller_connections.OnceConnector(
                 limit=0,
                 keepalive_timeout=_caller_connections.KEEPALIVE_S,
+                local_addr=local,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
@@ -199,7 +205,8 @@
             if progress.grant is None:
                 self.cache.pop(progress.request.service, None)
             return False
-        if retry is None or retry is errors.Retry.NEVER:
+        final = (None, errors.Retry.NEVER)
+        if retry in final or reply.ran() is errors.Ran.YES:
             # A refusal of the question says nothing about the request.
             if asked_outcome and retry is errors.Retry.NEVER:
                 progress.polling = True
--- a/filbertstep/_exchange.py
+++ b/filbertstep/_exchange.py
@@ -249,13 +249,19 @@
     if isinstance(outcome, result.Err):
         return refused(request_id, outcome.err_value)
     answer = outcome.ok_value
-    headers = answer.headers
     if answer.too_large:
-        headers = (*headers, ('X-Answer-Not-Kept', 'true'))
+        return refused(
+            request_id,
+            errors.Failure(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                'the request ran; its answer was too large to keep',
+            ),
+            errors.Ran.YES,
+        )
     return Reply(
         request_id,
         errors.Ran.YES,
         status=answer.status,
-        headers=headers,
+        headers=answer.headers,
         body=answer.body,
     )
--- a/filbertstep/_traffic.py
+++ b/filbertstep/_traffic.py
@@ -12,7 +12,6 @@
 import random
 import typing
 
-import aiohttp
 import msgspec
 
 from filbertstep import caller
@@ -83,21 +82,14 @@
     """A caller that writes each try to the history."""
 
     def __init__(self, source: Source, writer: checking.Writer, seed: int):
-        super().__init__(source.lookup_urls, source.key.secret, seed=seed)
+        super().__init__(
+            source.lookup_urls,
+            source.key.secret,
+            seed=seed,
+            local_address=source.local_address,
+        )
         self.source = source
         self.writer = writer
-        self.families: dict[int, str] = {}
-
-    async def __aenter__(self) -> 'RecordingClient':
-        """Open connections from the source's own address."""
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, local_addr=(self.source.local_address, 0)
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-        )
-        return self
 
     async def attempt(
         self, progress: caller.Progress, vm: lookup.LookupVmDoc
