Keep units of a bucket in debt; split own slots into a module

A bucket below zero pays its debt from its refill and so gives no units away. Ids and holders of epochs are computed once instead of each tick.

--- a/filbertstep/_asker.py
+++ b/filbertstep/_asker.py
@@ -121,10 +121,10 @@
         if incarnation == peer.incarnation and bucket.resource in rows:
             return rows[bucket.resource]
         splits = [
-            _ownership.allotment(
-                epoch, bucket.resource, peer.vm, peer.incarnation
+            self.table.split(
+                identifier, bucket.resource, peer.vm, peer.incarnation
             )
-            for epoch in self.table.epochs.values()
+            for identifier in self.table.epochs
         ]
         return PeerRow(min(splits, default=0), 0.0)
 
@@ -140,11 +140,14 @@
         return row.units - needed
 
     def candidates(
-        self, bucket: _buckets.Bucket, now: float
+        self,
+        live: list[systems.LiveVm],
+        bucket: _buckets.Bucket,
+        now: float,
     ) -> list[systems.LiveVm]:
         """Return peers to ask now, the largest surplus first."""
         found = []
-        for peer in self.membership.live(now):
+        for peer in live:
             line = self.line(peer.vm, bucket.resource)
             surplus = self.surplus(peer, bucket)
             ready = line.ask is None and now >= line.not_before
@@ -160,15 +163,14 @@
         """Ask peers for units of a resource."""
         if self.stopped or not self.table.epochs:
             return
+        live = self.membership.live(now)
+        # A dead peer's request stays unanswered and must not count here.
         busy = sum(
-            line.ask is not None
-            for (_, resource), line in self.lines.items()
-            if resource == bucket.resource
+            self.line(peer.vm, bucket.resource).ask is not None
+            for peer in live
         )
         free = max(0, ASK_AT_ONCE - busy)
-        if not free:
-            return
-        for peer in self.candidates(bucket, now)[:free]:
+        for peer in self.candidates(live, bucket, now)[:free]:
             self.start(peer, bucket, now)
 
     def start(
--- a/filbertstep/_buckets.py
+++ b/filbertstep/_buckets.py
@@ -183,6 +183,8 @@
         self.views = views
         self.buckets: dict[str, Bucket] = {}
         self.epochs: dict[str, config.Epoch] = {}
+        self.epoch_ids = _ownership.EpochIds()
+        self.holders: dict[tuple[str, str], dict[str, int]] = {}
         self.seen: tuple[object, ...] = ()
         self.refreshed_at = float('-inf')
 
@@ -201,10 +203,20 @@
             return
         self.seen = seen
         self.refreshed_at = now
-        self.epochs = _ownership.by_id(self.views.epochs(now))
+        self.set_epochs(self.epoch_ids.by_id(self.views.epochs(now)))
         for resource in [*self.buckets, *self.new_resources()]:
             self.apply(resource, now)
 
+    def set_epochs(self, epochs: dict[str, config.Epoch]) -> None:
+        """Take over the epochs in force; drop what others left behind."""
+        if epochs.keys() != self.epochs.keys():
+            self.holders = {
+                key: row
+                for key, row in self.holders.items()
+                if key[0] in epochs
+            }
+        self.epochs = epochs
+
     def new_resources(self) -> list[str]:
         """Return configured resources that have no bucket yet."""
         if self.views.newest is None:
@@ -232,12 +244,24 @@
     def splits(self, resource: str) -> dict[str, int]:
         """Return this VM's equal split under each epoch in force."""
         return {
-            identifier: _ownership.allotment(
-                epoch, resource, self.vm, self.incarnation
+            identifier: self.split(
+                identifier, resource, self.vm, self.incarnation
             )
-            for identifier, epoch in self.epochs.items()
+            for identifier in self.epochs
         }
 
+    def split(
+        self, identifier: str, resource: str, vm: str, incarnation: str
+    ) -> int:
+        """Return the units that an epoch in force gives a process."""
+        epoch = self.epochs[identifier]
+        if not epoch.holds(vm, incarnation):
+            return 0
+        key = (identifier, resource)
+        if key not in self.holders:
+            self.holders[key] = _ownership.holders(epoch, resource)
+        return self.holders[key].get(vm, 0)
+
     def newest_number(self) -> int:
         """Return the number of the newest epoch known."""
         newest = self.views.newest
--- a/filbertstep/_ownership.py
+++ b/filbertstep/_ownership.py
@@ -23,6 +23,10 @@
 HOLDERS: typing.Final = 8
 
 
+# Epochs whose ids are kept; above it they are computed anew.
+MOST_KNOWN_IDS: typing.Final = 64
+
+
 def epoch_id(epoch: config.Epoch) -> str:
     """Return an id that equal epochs share.
 
@@ -38,14 +42,34 @@
     return int(identifier.partition('-')[0])
 
 
-def by_id(
-    epochs: collections.abc.Iterable[config.Epoch],
-) -> dict[str, config.Epoch]:
-    """Return epochs by id, without those that have no member.
+class EpochIds:
+    """Ids of epochs, computed once for each epoch.
 
-    Nobody acts under an epoch without members, so it restricts nobody.
+    The systems ask for them each tick, and an epoch can have thousands of
+    members.
     """
-    return {epoch_id(epoch): epoch for epoch in epochs if epoch.members}
+
+    def __init__(self) -> None:
+        # By identity; the epoch is kept so that its identity stays its own.
+        self.known: dict[int, tuple[config.Epoch, str]] = {}
+
+    def by_id(
+        self, epochs: collections.abc.Iterable[config.Epoch]
+    ) -> dict[str, config.Epoch]:
+        """Return epochs by id, without those that have no member.
+
+        Nobody acts under an epoch without members, so it restricts nobody.
+        """
+        return {self.get(epoch): epoch for epoch in epochs if epoch.members}
+
+    def get(self, epoch: config.Epoch) -> str:
+        """Return an epoch's id."""
+        if len(self.known) > MOST_KNOWN_IDS:
+            self.known.clear()
+        row = self.known.get(id(epoch))
+        if row is None:
+            row = self.known[id(epoch)] = (epoch, epoch_id(epoch))
+        return row[1]
 
 
 def ranked(key: str, vms: collections.abc.Iterable[str]) -> list[str]:
@@ -57,22 +81,18 @@
     )
 
 
-def holders(epoch: config.Epoch, resource: str) -> list[str]:
-    """Return the members that hold units of a resource, sorted by name."""
-    if len(epoch.members) <= ALL_HOLD_UP_TO:
-        return sorted(epoch.members)
-    return sorted(ranked(resource, epoch.members)[:HOLDERS])
-
-
-def allotment(
-    epoch: config.Epoch, resource: str, vm: str, incarnation: str
-) -> int:
-    """Return the units that an epoch gives a process at its start."""
-    vms = holders(epoch, resource)
-    if not epoch.holds(vm, incarnation) or vm not in vms:
-        return 0
+def holders(epoch: config.Epoch, resource: str) -> dict[str, int]:
+    """Return the units that an epoch gives its holders of a resource."""
+    vms = sorted(epoch.members)
+    if len(vms) > ALL_HOLD_UP_TO:
+        vms = sorted(ranked(resource, vms)[:HOLDERS])
+    if not vms:
+        return {}
     whole, rest = divmod(UNITS, len(vms))
-    return whole + (1 if vms.index(vm) < rest else 0)
+    return {
+        vm: whole + (1 if position < rest else 0)
+        for position, vm in enumerate(vms)
+    }
 
 
 def slot_owner(
--- a/filbertstep/_slot_table.py
+++ b/filbertstep/_slot_table.py
@@ -43,6 +43,7 @@
         self.vm = vm
         self.incarnation = incarnation
         self.views = views
+        self.epoch_ids = _ownership.EpochIds()
         self.owned: dict[str, frozenset[int]] = {}
         self.drained: set[str] = set()
         self.servers: dict[Place, list[str]] = {}
@@ -161,7 +162,7 @@
             config.EVIDENCE_LIFETIME_S + deadline_s + TAKEOVER_MARGIN_S
         )
         if lookback_s not in self.lookbacks:
-            self.lookbacks[lookback_s] = _ownership.by_id(
+            self.lookbacks[lookback_s] = self.epoch_ids.by_id(
                 self.views.epochs(now, lookback_s)
             )
         return self.lookbacks[lookback_s]
--- a/filbertstep/_slots.py
+++ b/filbertstep/_slots.py
@@ -29,7 +29,6 @@
 """
 
 import collections
-import math
 import random
 import typing
 
@@ -37,6 +36,7 @@
 
 from filbertstep import _borrower
 from filbertstep import _loans
+from filbertstep import _own_slots
 from filbertstep import _slot_table
 from filbertstep import clock
 from filbertstep import codec
@@ -50,33 +50,11 @@
 # arrival of the request, which is later by the transit.
 DEADLINE_TRANSIT_S: typing.Final = 0.25
 
-# Time constant in seconds with which the memory of own use decays.  A lender
-# keeps slots that it used this recently, else they would go back and forth.
-USE_TIME_S: typing.Final = 1.0
-
 Place = _slot_table.Place
 Message = transport.Message
 Answer = result.Result[transport.Message, errors.Failure]
 
 
-class Use:
-    """Recent peak of the slots that a VM itself needed at a place."""
-
-    def __init__(self) -> None:
-        self.level = 0.0
-        self.noted_at = 0.0
-
-    def peak(self, now: float) -> float:
-        """Return the decayed peak."""
-        age = max(0.0, now - self.noted_at)
-        return self.level * math.exp(-age / USE_TIME_S)
-
-    def note(self, count: int, now: float) -> None:
-        """Raise the peak to a number of slots needed now."""
-        self.level = max(self.peak(now), float(count))
-        self.noted_at = now
-
-
 class SlotSystem(systems.System, systems.HeartbeatPart, systems.Slots):
     """Slots that this VM owns or has on loan."""
 
@@ -96,18 +74,12 @@
         self.clock = clock
         self.freshness = freshness
         self.membership = membership
-        self.table = _slot_table.SlotTable(vm, incarnation, views)
+        self.own = _own_slots.OwnSlots(vm, incarnation, views)
+        self.table = self.own.table
         self.borrower = _borrower.Borrower(
             vm, incarnation, membership, peers, rng, clock.now
         )
-        self.lent = _loans.LentBook(incarnation)
-        # Requests on own slots, and the time from which each slot is free
-        # even if nobody releases it.
-        self.running: dict[tuple[str, int], systems.SlotHold] = {}
         self.used: collections.Counter[str] = collections.Counter()
-        self.uses: collections.defaultdict[Place, Use] = (
-            collections.defaultdict(Use)
-        )
 
     def handlers(self) -> dict[str, systems.Handler]:
         """Return the peers' paths that this system answers."""
@@ -122,28 +94,17 @@
         for hold in self.holds():
             if now >= hold.run_until + DEADLINE_TRANSIT_S:
                 self.release(hold, now)
-        self.lent.reclaim(now)
+        self.own.lent.reclaim(now)
         self.borrower.tick(now)
 
     def holds(self) -> list[systems.SlotHold]:
         """Return all slots in use."""
         borrowed = [loan.hold for loan in self.borrower.book.loans.values()]
         return [
-            *self.running.values(),
+            *self.own.running.values(),
             *(hold for hold in borrowed if hold is not None),
         ]
 
-    def own_idle(self, server: str) -> list[int]:
-        """Return own slots of a server that nobody uses, lowest first."""
-        if server in self.table.drained:
-            return []
-        return [
-            slot
-            for slot in sorted(self.table.owned.get(server, ()))
-            if (server, slot) not in self.running
-            and (server, slot) not in self.lent.slots
-        ]
-
     def borrowed_idle(
         self, server: str, run_for_s: float, now: float
     ) -> list[_loans.Borrowed]:
@@ -159,7 +120,7 @@
         if limit_s is None or not self.freshness.fresh(now):
             return {}
         counts = {
-            server: len(self.own_idle(server))
+            server: len(self.own.idle(server))
             + len(self.borrowed_idle(server, limit_s, now))
             for server in self.table.servers.get(Place(region, service), ())
         }
@@ -192,7 +153,7 @@
         hold = self.hold_slot(server, place, run_for_s, now)
         if hold is not None:
             self.used[server] += 1
-            self.uses[place].note(self.used_at(place), now)
+            self.own.uses[place].note(self.used_at(place), now)
         return hold
 
     def hold_slot(
@@ -200,12 +161,12 @@
     ) -> systems.SlotHold | None:
         """Use an own slot, or one on loan when no own one is idle."""
         until = now + run_for_s
-        own = self.own_idle(server)
+        own = self.own.idle(server)
         if own:
             hold = systems.SlotHold(
                 server, own[0], place.service, place.region, None, until
             )
-            self.running[(server, own[0])] = hold
+            self.own.running[(server, own[0])] = hold
             return hold
         for loan in self.borrowed_idle(server, run_for_s, now):
             loan.hold = systems.SlotHold(
@@ -223,8 +184,8 @@
         """Return a slot after its request ended; once for each hold."""
         key = (hold.server, hold.slot)
         loan = self.borrower.book.of_hold(hold)
-        if self.running.get(key) is hold:
-            del self.running[key]
+        if self.own.running.get(key) is hold:
+            del self.own.running[key]
         elif loan is not None:
             loan.hold = None
             loan.idle_since = now
@@ -245,25 +206,11 @@
         self.table.refresh(now)
         place = Place(region, service)
         use = self.used_at(place) + count
-        self.uses[place].note(use, now)
+        self.own.uses[place].note(use, now)
         count -= sum(self.idle(service, region, now).values())
         if count > 0 and self.freshness.fresh(now):
             self.borrower.borrow((service, region), count, now)
 
-    def lendable(self, place: Place, now: float) -> int:
-        """Return idle slots beyond what this VM needed recently."""
-        if not self.freshness.fresh(now):
-            return 0
-        kept = round(self.uses[place].peak(now)) - self.used_at(place)
-        return max(0, self.idle_at(place) - max(0, kept))
-
-    def idle_at(self, place: Place) -> int:
-        """Return the number of own idle slots at a place."""
-        return sum(
-            len(self.own_idle(server))
-            for server in self.table.servers.get(place, ())
-        )
-
     async def answer_borrow(self, message: Message) -> Answer:
         """Lend slots to a peer; a repeated id gets its first answer."""
         checked = codec.convert(message, _loans.BorrowDoc)
@@ -274,46 +221,29 @@
         doc = checked.ok_value
         now = self.clock.now()
         key = (doc['vm'], doc['incarnation'], doc['service'], doc['region'])
-        last = self.lent.granted.get(key)
+        last = self.own.lent.granted.get(key)
         if last is not None and doc['loan_request_id'] < last.loan_request_id:
             return result.Ok({'loans': []})
         if last is None or doc['loan_request_id'] > last.loan_request_id:
             answer: _loans.LoansDoc = {'loans': self.lend(doc, now)}
-            last = self.lent.granted[key] = _loans.Granted(
+            last = self.own.lent.granted[key] = _loans.Granted(
                 doc['loan_request_id'], answer, now + _slot_table.HISTORY_S
             )
         return result.Ok(typing.cast(Message, dict(last.answer)))
 
     def lend(self, doc: _loans.BorrowDoc, now: float) -> list[_loans.LoanDoc]:
-        """Lend idle slots, first those of the idlest servers."""
+        """Lend slots while fresh."""
         self.table.refresh(now)
-        self.lent.reclaim(now)
-        place = Place(doc['region'], doc['service'])
-        limit_s = self.table.limits.get(doc['service'])
-        if limit_s is None:
+        if not self.freshness.fresh(now):
             return []
-        count = min(doc['count'], self.lendable(place, now), _loans.MOST_LOANS)
-        borrower = (doc['vm'], doc['incarnation'])
-        duration_s = limit_s + _slot_table.LOAN_MARGIN_S
-        return [
-            self.lent.lend(server, slot, borrower, duration_s, now)
-            for server, slot in self.idlest(place)[:count]
-        ]
-
-    def idlest(self, place: Place) -> list[tuple[str, int]]:
-        """Return own idle slots, spread over the servers.
+        place = Place(doc['region'], doc['service'])
+        return self.own.lend(doc, self.used_at(place), now)
 
-        The n-th slot of a server comes after the slots of servers that have
-        more left, so that loans do not pile up on one server.
-        """
-        found = []
-        for server in self.table.servers.get(place, ()):
-            idle = self.own_idle(server)
-            found += [
-                (position - len(idle), server, slot)
-                for position, slot in enumerate(idle)
-            ]
-        return [(server, slot) for _, server, slot in sorted(found)]
+    def lendable(self, place: Place, now: float) -> int:
+        """Return the number of slots that peers may borrow."""
+        if not self.freshness.fresh(now):
+            return 0
+        return self.own.lendable(place, self.used_at(place), now)
 
     async def answer_return(self, message: Message) -> Answer:
         """Take back slots that a borrower returns."""
@@ -322,27 +252,25 @@
             return result.Err(
                 errors.Failure(errors.ErrorKind.BAD_REQUEST, checked.err_value)
             )
-        return result.Ok({'returned': self.lent.returned(checked.ok_value)})
+        return result.Ok(
+            {'returned': self.own.lent.returned(checked.ok_value)}
+        )
 
     def payload(self, now: float) -> dict[str, typing.Any]:
         """Return the numbers of own slots by service and region."""
         self.table.refresh(now)
         slots: dict[str, dict[str, tuple[int, int, int]]] = {}
         for place in self.table.servers:
-            total = self.total_at(place)
+            total = self.own.total_at(place)
             if total:
-                row = (self.lendable(place, now), self.idle_at(place), total)
+                row = (
+                    self.lendable(place, now),
+                    self.own.idle_at(place),
+                    total,
+                )
                 slots.setdefault(place.service, {})[place.region] = row
         return {'slots': slots}
 
-    def total_at(self, place: Place) -> int:
-        """Return the number of own slots of servers not being drained."""
-        return sum(
-            len(self.table.owned.get(server, ()))
-            for server in self.table.servers.get(place, ())
-            if server not in self.table.drained
-        )
-
     def receive(
         self,
         vm: str,
@@ -360,8 +288,8 @@
         total: collections.Counter[str] = collections.Counter()
         for place in self.table.servers:
             if place.service == service:
-                idle[place.region] += self.idle_at(place)
-                total[place.region] += self.total_at(place)
+                idle[place.region] += self.own.idle_at(place)
+                total[place.region] += self.own.total_at(place)
         for peer in self.membership.live(now):
             heard = self.borrower.heard.get(peer.vm)
             if heard is None or heard.incarnation != peer.incarnation:
--- a/filbertstep/_transfers.py
+++ b/filbertstep/_transfers.py
@@ -160,7 +160,12 @@
 
 
 def units_to_give(bucket: _buckets.Bucket, ask: AskDoc, now: float) -> int:
-    """Return how many units to give to an asker."""
+    """Return how many units to give to an asker.
+
+    None from a bucket below zero: its refill pays for what was used already.
+    """
+    if bucket.tokens < 0:
+        return 0
     if bucket.waiters:
         units = contended_units(bucket, ask, now)
     else:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -178,6 +178,14 @@
         self.assertFalse(shares.try_take(fakes.ACCOUNT, 1.0, now + 0.1))
         self.assertTrue(shares.try_take(fakes.ACCOUNT, 1.0, now + 0.12))
 
+    def test_bucket_in_debt_gives_nothing(self) -> None:
+        """Guards against a debt that stays behind without its refill."""
+        fleet = make_fleet(2)
+        shares = fleet.nodes['vm-2'].shares
+        shares.charge(fakes.ACCOUNT, 70.0, fleet.clock.now())
+        given = ask(fleet, 'vm-2', make_ask(fleet, 'vm-1'))
+        self.assertEqual((0, 0.0), fakes.run(fleet.clock, given))
+
     def test_give_back_is_bounded_by_the_burst(self) -> None:
         """Guards against a bucket above its burst."""
         fleet = make_fleet(1)
@@ -504,6 +512,28 @@
         self.assertEqual([], [s.refused for s in senders if s.refused])
         self.assertLess(fleet.peers.calls, 300)
 
+    def test_lost_vm_costs_few_refusals(self) -> None:
+        """Guards against refusals while a dead VM's units are missing."""
+        fleet = make_fleet(7)
+        senders = [
+            Sender(fleet, f'vm-{number}', rate, 15.0)
+            for number, rate in enumerate((30, 10, 10, 5, 5), start=1)
+        ]
+
+        async def lose() -> None:
+            await asyncio.sleep(3.0)
+            fleet.kill('vm-7')
+            await asyncio.sleep(5.0)
+            fleet.commit_all()
+
+        async def scenario() -> None:
+            await asyncio.gather(send(fleet, senders), lose())
+
+        fakes.run(fleet.clock, scenario())
+        refused = sum(len(sender.refused) for sender in senders)
+        sent = sum(sender.sent for sender in senders)
+        self.assertLessEqual(refused, 0.01 * sent)
+
     def test_small_burst_gathers_a_whole_token(self) -> None:
         """Guards against an account whose tokens exist only in parts."""
         for burst in (1.0, 3.0, 7.0):
