--- a/filbertstep/_shares.py
+++ b/filbertstep/_shares.py
@@ -184,7 +184,10 @@
         bucket.demand.note(amount, now)
         if self.take_now(bucket, amount, now):
             return True
-        if timeout_s <= 0 or not self.freshness.fresh(now):
+        # More than the burst never fits, and waiting for it would gather
+        # all units here.
+        hopeless = amount > bucket.limits.burst or timeout_s <= 0
+        if hopeless or not self.freshness.fresh(now):
             return False
         return await self.wait(bucket, amount, timeout_s)
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -224,6 +224,15 @@
         self.assertFalse(fakes.run(fleet.clock, taken))
         self.assertAlmostEqual(0.25, fleet.clock.now() - started, 3)
 
+    def test_more_than_the_burst_is_refused_at_once(self) -> None:
+        """Guards against units gathered for what can never be taken."""
+        fleet = make_fleet(3)
+        started = fleet.clock.now()
+        taken = fleet.nodes['vm-1'].shares.take(fakes.ACCOUNT, 61.0, 0.25)
+        self.assertFalse(fakes.run(fleet.clock, taken))
+        self.assertEqual(started, fleet.clock.now())
+        self.assertEqual(0, fleet.peers.calls)
+
     def test_cancelled_request_leaves_the_queue(self) -> None:
         """Guards against tokens lost to a caller that went away."""
         fleet = make_fleet(1, rate=10.0, burst=1.0)
