--- a/filbertstep/_loans.py
+++ b/filbertstep/_loans.py
@@ -6,6 +6,7 @@
 ``RECLAIM_MARGIN_S`` after the loan ended.
 """
 
+import collections
 import typing
 
 import msgspec
@@ -177,6 +178,16 @@
         ]
         return sorted(found, key=lambda loan: loan.until)
 
+    def idle_counts(
+        self, run_for_s: float, now: float
+    ) -> collections.Counter[str]:
+        """Return the number of idle loans that last, by server."""
+        return collections.Counter(
+            loan.server
+            for loan in self.loans.values()
+            if loan.hold is None and now + run_for_s <= loan.until
+        )
+
     def of_hold(self, hold: systems.SlotHold) -> Borrowed | None:
         """Return the loan that a request uses."""
         for loan in self.loans.values():
--- a/filbertstep/_own_slots.py
+++ b/filbertstep/_own_slots.py
@@ -62,6 +62,14 @@
             and (server, slot) not in self.lent.slots
         ]
 
+    def idle_count(self, server: str) -> int:
+        """Return the number of own slots that nobody uses."""
+        return sum(
+            (server, slot) not in self.running
+            and (server, slot) not in self.lent.slots
+            for slot in self.table.owned.get(server, ())
+        )
+
     def lendable(self, place: Place, used: int, now: float) -> int:
         """Return idle slots beyond what this VM needed recently.
 
@@ -73,8 +81,9 @@
     def idle_at(self, place: Place) -> int:
         """Return the number of own idle slots at a place."""
         return sum(
-            len(self.idle(server))
+            self.idle_count(server)
             for server in self.table.servers.get(place, ())
+            if server not in self.table.drained
         )
 
     def lend(
--- a/filbertstep/_slots.py
+++ b/filbertstep/_slots.py
@@ -80,6 +80,7 @@
             vm, incarnation, membership, peers, rng, clock.now
         )
         self.used: collections.Counter[str] = collections.Counter()
+        self.used_at: collections.Counter[Place] = collections.Counter()
 
     def handlers(self) -> dict[str, systems.Handler]:
         """Return the peers' paths that this system answers."""
@@ -119,10 +120,11 @@
         limit_s = self.table.limits.get(service)
         if limit_s is None or not self.freshness.fresh(now):
             return {}
+        borrowed = self.borrower.book.idle_counts(limit_s, now)
         counts = {
-            server: len(self.own.idle(server))
-            + len(self.borrowed_idle(server, limit_s, now))
+            server: self.own.idle_count(server) + borrowed[server]
             for server in self.table.servers.get(Place(region, service), ())
+            if server not in self.table.drained
         }
         return {server: count for server, count in counts.items() if count}
 
@@ -130,12 +132,6 @@
         """Return how many slots of a backend server this VM is using."""
         return self.used[server]
 
-    def used_at(self, place: Place) -> int:
-        """Return how many slots this VM is using at a place."""
-        return sum(
-            self.used[server] for server in self.table.servers.get(place, ())
-        )
-
     def acquire(
         self, server: str, run_for_s: float, now: float
     ) -> systems.SlotHold | None:
@@ -153,7 +149,8 @@
         hold = self.hold_slot(server, place, run_for_s, now)
         if hold is not None:
             self.used[server] += 1
-            self.own.uses[place].note(self.used_at(place), now)
+            self.used_at[place] += 1
+            self.own.uses[place].note(self.used_at[place], now)
         return hold
 
     def hold_slot(
@@ -191,6 +188,7 @@
             loan.idle_since = now
         else:
             return
+        self.used_at[Place(hold.region, hold.service)] -= 1
         self.used[hold.server] -= 1
         if not self.used[hold.server]:
             del self.used[hold.server]
@@ -205,7 +203,7 @@
         """Note that requests wait here, so that slots are borrowed."""
         self.table.refresh(now)
         place = Place(region, service)
-        use = self.used_at(place) + count
+        use = self.used_at[place] + count
         self.own.uses[place].note(use, now)
         count -= sum(self.idle(service, region, now).values())
         if count > 0 and self.freshness.fresh(now):
@@ -237,13 +235,13 @@
         if not self.freshness.fresh(now):
             return []
         place = Place(doc['region'], doc['service'])
-        return self.own.lend(doc, self.used_at(place), now)
+        return self.own.lend(doc, self.used_at[place], now)
 
     def lendable(self, place: Place, now: float) -> int:
         """Return the number of slots that peers may borrow."""
         if not self.freshness.fresh(now):
             return 0
-        return self.own.lendable(place, self.used_at(place), now)
+        return self.own.lendable(place, self.used_at[place], now)
 
     async def answer_return(self, message: Message) -> Answer:
         """Take back slots that a borrower returns."""
