--- a/filbertstep/_loans.py
+++ b/filbertstep/_loans.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from filbertstep import _slot_table
 from filbertstep import systems
 
 SLOTS_PATH: typing.Final = '/peer/slots'
@@ -141,7 +142,10 @@
 
 
 class Borrowed:
-    """A slot on loan from a peer; ``hold`` is the request that uses it."""
+    """A slot on loan from a peer; ``hold`` is the request that uses it.
+
+    Until ``full_until`` a request with the whole deadline fits in the loan.
+    """
 
     def __init__(
         self, lender: str, loan: LoanDoc, asked_at: float, now: float
@@ -151,6 +155,7 @@
         self.server = loan['server']
         self.slot = loan['slot']
         self.until = asked_at + loan['duration_s']
+        self.full_until = asked_at + _slot_table.LOAN_MARGIN_S
         self.hold: systems.SlotHold | None = None
         self.idle_since = now
 
@@ -196,10 +201,14 @@
         return None
 
     def take_idle(self, idle_s: float, now: float) -> dict[str, list[str]]:
-        """Remove loans idle for a time; return their ids by lender."""
+        """Remove loans that are idle for a time or too short for use.
+
+        Returns their ids by lender.
+        """
         by_lender: dict[str, list[str]] = {}
         for loan in list(self.loans.values()):
-            if loan.hold is None and now - loan.idle_since >= idle_s:
+            spent = now > loan.full_until or now - loan.idle_since >= idle_s
+            if loan.hold is None and spent:
                 del self.loans[loan.loan_id]
                 by_lender.setdefault(loan.lender, []).append(loan.loan_id)
         return by_lender
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -339,6 +339,24 @@
 
         fakes.run(self.fleet.clock, scenario())
 
+    def test_loan_too_short_for_a_deadline_goes_back(self) -> None:
+        """Guards against slots that are on loan and cannot be used."""
+
+        async def scenario() -> None:
+            await self.borrow()
+            for _ in range(19):
+                await self.fleet.go_on(0.1)
+                for hold in self.borrower.slots.holds():
+                    self.borrower.slots.release(hold, self.now())
+                acquire_all(self.borrower, self.now())
+            self.assertGreater(self.lent(), 0)
+            for hold in self.borrower.slots.holds():
+                self.borrower.slots.release(hold, self.now())
+            await self.fleet.go_on(0.3)
+            self.assertEqual((0, 0), (self.borrowed(), self.lent()))
+
+        fakes.run(self.fleet.clock, scenario())
+
     def test_lost_return_ends_after_the_loan(self) -> None:
         """Guards against a lender that uses a slot during its loan."""
 
