--- a/filbertstep/_borrower.py
+++ b/filbertstep/_borrower.py
@@ -81,6 +81,7 @@
         self.rng = rng
         self.clock_now = clock_now
         self.book = _loans.BorrowedBook()
+        self.places: dict[str, Place] = {}
         self.stopped = False
         self.last_id = 0
         self.heard: dict[str, Heard] = {}
@@ -197,6 +198,7 @@
         if isinstance(checked, result.Ok):
             taken = checked.ok_value['loans']
         for loan in taken:
+            self.places[loan['loan_id']] = place
             self.book.loans[loan['loan_id']] = _loans.Borrowed(
                 vm, loan, request.asked_at, self.clock_now()
             )
@@ -224,7 +226,8 @@
                 line.request = None
             elif vm in live:
                 self.call_soon(vm, line, request)
-        self.book.expire(now)
+        for loan_id in self.book.expire(now):
+            self.places.pop(loan_id, None)
         idle_s = 0.0 if self.stopped else IDLE_LOAN_S
         for vm, loans in self.book.take_idle(idle_s, now).items():
             self.spawn(self.give_back(vm, loans))
@@ -241,13 +244,29 @@
 
     async def give_back(self, vm: str, loans: list[str]) -> None:
         """Return loans; a lost return ends by itself at the loan's end."""
+        places = [self.places.pop(loan_id, None) for loan_id in loans]
         doc: _loans.ReturnDoc = {
             'vm': self.vm,
             'incarnation': self.incarnation,
             'loans': loans,
         }
         message = typing.cast(transport.Message, dict(doc))
-        await self.peers.call(vm, _loans.RETURN_PATH, message, CALL_TIMEOUT_S)
+        answer = await self.peers.call(
+            vm, _loans.RETURN_PATH, message, CALL_TIMEOUT_S
+        )
+        if isinstance(answer, result.Ok):
+            self.note_returned(vm, places)
+
+    def note_returned(self, vm: str, places: list[Place | None]) -> None:
+        """Raise a peer's idle slots as last heard by what it got back.
+
+        Else the slots stay unused until its next heartbeat.
+        """
+        heard = self.heard.get(vm)
+        for place in places:
+            if heard is not None and place in heard.slots:
+                row = heard.slots[place]
+                heard.slots[place] = (row[0] + 1, row[1], row[2])
 
     async def hand_over(self, now: float) -> None:
         """Return all idle loans and borrow no more."""
--- a/filbertstep/_loans.py
+++ b/filbertstep/_loans.py
@@ -213,8 +213,13 @@
                 by_lender.setdefault(loan.lender, []).append(loan.loan_id)
         return by_lender
 
-    def expire(self, now: float) -> None:
-        """Drop loans that ended and run no request."""
-        for loan in list(self.loans.values()):
-            if loan.hold is None and now >= loan.until:
-                del self.loans[loan.loan_id]
+    def expire(self, now: float) -> list[str]:
+        """Drop loans that ended and run no request; return their ids."""
+        ended = [
+            loan.loan_id
+            for loan in self.loans.values()
+            if loan.hold is None and now >= loan.until
+        ]
+        for loan_id in ended:
+            del self.loans[loan_id]
+        return ended
