--- a/filbertstep/_loans.py
+++ b/filbertstep/_loans.py
@@ -6,10 +6,12 @@
 ``RECLAIM_MARGIN_S`` after the loan ended.
 """
 
+import collections
 import typing
 
 import msgspec
 
+from filbertstep import _slot_table
 from filbertstep import systems
 
 SLOTS_PATH: typing.Final = '/peer/slots'
@@ -140,7 +142,10 @@
 
 
 class Borrowed:
-    """A slot on loan from a peer; ``hold`` is the request that uses it."""
+    """A slot on loan from a peer; ``hold`` is the request that uses it.
+
+    Until ``full_until`` a request with the whole deadline fits in the loan.
+    """
 
     def __init__(
         self, lender: str, loan: LoanDoc, asked_at: float, now: float
@@ -150,6 +155,7 @@
         self.server = loan['server']
         self.slot = loan['slot']
         self.until = asked_at + loan['duration_s']
+        self.full_until = asked_at + _slot_table.LOAN_MARGIN_S
         self.hold: systems.SlotHold | None = None
         self.idle_since = now
 
@@ -177,6 +183,16 @@
         ]
         return sorted(found, key=lambda loan: loan.until)
 
+    def idle_counts(
+        self, run_for_s: float, now: float
+    ) -> collections.Counter[str]:
+        """Return the number of idle loans that last, by server."""
+        return collections.Counter(
+            loan.server
+            for loan in self.loans.values()
+            if loan.hold is None and now + run_for_s <= loan.until
+        )
+
     def of_hold(self, hold: systems.SlotHold) -> Borrowed | None:
         """Return the loan that a request uses."""
         for loan in self.loans.values():
@@ -185,16 +201,25 @@
         return None
 
     def take_idle(self, idle_s: float, now: float) -> dict[str, list[str]]:
-        """Remove loans idle for a time; return their ids by lender."""
+        """Remove loans that are idle for a time or too short for use.
+
+        Returns their ids by lender.
+        """
         by_lender: dict[str, list[str]] = {}
         for loan in list(self.loans.values()):
-            if loan.hold is None and now - loan.idle_since >= idle_s:
+            spent = now > loan.full_until or now - loan.idle_since >= idle_s
+            if loan.hold is None and spent:
                 del self.loans[loan.loan_id]
                 by_lender.setdefault(loan.lender, []).append(loan.loan_id)
         return by_lender
 
-    def expire(self, now: float) -> None:
-        """Drop loans that ended and run no request."""
-        for loan in list(self.loans.values()):
-            if loan.hold is None and now >= loan.until:
-                del self.loans[loan.loan_id]
+    def expire(self, now: float) -> list[str]:
+        """Drop loans that ended and run no request; return their ids."""
+        ended = [
+            loan.loan_id
+            for loan in self.loans.values()
+            if loan.hold is None and now >= loan.until
+        ]
+        for loan_id in ended:
+            del self.loans[loan_id]
+        return ended
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -178,6 +178,14 @@
         self.assertFalse(shares.try_take(fakes.ACCOUNT, 1.0, now + 0.1))
         self.assertTrue(shares.try_take(fakes.ACCOUNT, 1.0, now + 0.12))
 
+    def test_bucket_in_debt_gives_nothing(self) -> None:
+        """Guards against a debt that stays behind without its refill."""
+        fleet = make_fleet(2)
+        shares = fleet.nodes['vm-2'].shares
+        shares.charge(fakes.ACCOUNT, 70.0, fleet.clock.now())
+        given = ask(fleet, 'vm-2', make_ask(fleet, 'vm-1'))
+        self.assertEqual((0, 0.0), fakes.run(fleet.clock, given))
+
     def test_give_back_is_bounded_by_the_burst(self) -> None:
         """Guards against a bucket above its burst."""
         fleet = make_fleet(1)
@@ -216,6 +224,15 @@
         self.assertFalse(fakes.run(fleet.clock, taken))
         self.assertAlmostEqual(0.25, fleet.clock.now() - started, 3)
 
+    def test_more_than_the_burst_is_refused_at_once(self) -> None:
+        """Guards against units gathered for what can never be taken."""
+        fleet = make_fleet(3)
+        started = fleet.clock.now()
+        taken = fleet.nodes['vm-1'].shares.take(fakes.ACCOUNT, 61.0, 0.25)
+        self.assertFalse(fakes.run(fleet.clock, taken))
+        self.assertEqual(started, fleet.clock.now())
+        self.assertEqual(0, fleet.peers.calls)
+
     def test_cancelled_request_leaves_the_queue(self) -> None:
         """Guards against tokens lost to a caller that went away."""
         fleet = make_fleet(1, rate=10.0, burst=1.0)
@@ -504,6 +521,28 @@
         self.assertEqual([], [s.refused for s in senders if s.refused])
         self.assertLess(fleet.peers.calls, 300)
 
+    def test_lost_vm_costs_few_refusals(self) -> None:
+        """Guards against refusals while a dead VM's units are missing."""
+        fleet = make_fleet(7)
+        senders = [
+            Sender(fleet, f'vm-{number}', rate, 15.0)
+            for number, rate in enumerate((30, 10, 10, 5, 5), start=1)
+        ]
+
+        async def lose() -> None:
+            await asyncio.sleep(3.0)
+            fleet.kill('vm-7')
+            await asyncio.sleep(5.0)
+            fleet.commit_all()
+
+        async def scenario() -> None:
+            await asyncio.gather(send(fleet, senders), lose())
+
+        fakes.run(fleet.clock, scenario())
+        refused = sum(len(sender.refused) for sender in senders)
+        sent = sum(sender.sent for sender in senders)
+        self.assertLessEqual(refused, 0.01 * sent)
+
     def test_small_burst_gathers_a_whole_token(self) -> None:
         """Guards against an account whose tokens exist only in parts."""
         for burst in (1.0, 3.0, 7.0):
