--- a/tests/test_routing_regions.py
+++ b/tests/test_routing_regions.py
@@ -287,3 +287,38 @@
                 left = bench.shares.tokens['link/launceston-hobart']
                 if not starts:
                     self.assertEqual(270_000.0 - 16_384, left)
+
+    async def test_interactive_work_gets_link_bytes_first(self) -> None:
+        """Guards against deferrable work that takes what is left."""
+        services = {
+            name: routing_fakes.service_doc(work, {'launceston': 1.0})
+            for name, work in (
+                ('care', 'deferrable'),
+                ('orders', 'interactive'),
+            )
+        }
+        servers = {
+            name: routing_fakes.server_doc(name, 'launceston', 9)
+            for name in services
+        }
+        bench = routing_bench.Bench(
+            routing_fakes.documents(
+                services, servers, links=routing_bench.LINKS
+            )
+        )
+        bench.shares.tokens = {
+            'link/hobart-launceston': 1e6,
+            'link/launceston-hobart': 0.0,
+        }
+        care = bench.begin('care')
+        await routing_bench.settle()
+        orders = bench.begin('orders')
+        await routing_bench.settle()
+        self.assertFalse(care.done() or orders.done())
+        # Enough for one answer and the reserve, not for two answers.
+        bench.shares.tokens['link/launceston-hobart'] = 280_000.0
+        bench.tick()
+        await routing_bench.settle()
+        self.assertTrue(orders.done())
+        self.assertFalse(care.done())
+        care.cancel()
--- a/tests/test_routing_shift.py
+++ b/tests/test_routing_shift.py
@@ -262,6 +262,10 @@
         for now in (1.1, 5.2):
             refused = vm.place(0.1, now, room)
             self.assertIsInstance(refused, result.Err)
+        # The window of the new interval still has the eleven at 10.5.
+        for _ in range(9):
+            vm.place(0.1, 10.5).unwrap()
+        self.assertIsInstance(vm.place(0.1, 10.5, room), result.Err)
 
 
 class Step(typing.NamedTuple):
