--- a/tests/test_routing_regions.py
+++ b/tests/test_routing_regions.py
@@ -252,6 +252,18 @@
                     bench.shares.tokens,
                 )
 
+    async def test_link_bytes_return_without_a_slot(self) -> None:
+        """Guards against bytes that leak when the slot cannot be had."""
+        bench = self.far()
+        bench.slots.owned['c'] = [5]
+        bench.health.rows['c'].ramp_since = bench.clock.now()
+        before = dict(bench.shares.tokens)
+        waiting = bench.begin()
+        await routing_bench.settle()
+        self.assertFalse(waiting.done())
+        self.assertEqual(before, bench.shares.tokens)
+        waiting.cancel()
+
     async def test_no_link_bytes(self) -> None:
         """Guards against requests that overload a link."""
         bench = self.far()
