--- a/tests/test_routing_regions.py
+++ b/tests/test_routing_regions.py
@@ -120,6 +120,8 @@
         bench.dispatcher.wake('bookings')
         await routing_bench.settle()
         self.assertEqual('a', waiting.result().unwrap().server.name)
+        # The attempts before do not count as placed.
+        self.assertEqual(1, bench.shift.rows['bookings'].placed)
         spilt = bench.begin()
         await routing_bench.settle()
         self.assertFalse(spilt.done())
