--- a/filbertstep/_demo.py
+++ b/filbertstep/_demo.py
@@ -24,7 +24,7 @@
 EXAMPLES: typing.Final = ('huon-burr', 'vleiland')
 
 # Share of its rate that each account offers, and of the one that sends more.
-LOAD: typing.Final = 0.4
+LOAD: typing.Final = 0.25
 GREEDY_FACTOR: typing.Final = 4.0
 
 # Requests a second in each region with the key that is withdrawn.
--- a/filbertstep/_exchange.py
+++ b/filbertstep/_exchange.py
@@ -17,6 +17,7 @@
 import result
 
 from filbertstep import _admission
+from filbertstep import _tokens
 from filbertstep import _tries
 from filbertstep import clock
 from filbertstep import delivery
@@ -24,9 +25,6 @@
 from filbertstep import routing
 from filbertstep import systems
 
-# Longest time in seconds that a request waits for tokens of its account.
-TOKEN_WAIT_S: typing.Final = 0.25
-
 
 class Reply(typing.NamedTuple):
     """What the caller gets.
@@ -97,6 +95,7 @@
             body,
             given_id,
             _admission.request_digest(admitted.raw, body),
+            self.token(admitted),
         )
         # A request that runs at most once is finished although its caller
         # left, so that the caller can ask for the outcome.
@@ -126,10 +125,11 @@
         self, admitted: _admission.Admitted, body: bytes, request_id: str
     ) -> Reply:
         """Run a request that may run more than once."""
-        failure = await self.check(admitted, body)
+        token = self.token(admitted)
+        failure = await self.check(admitted, body, token)
         if failure is not None:
             return refused(request_id, failure)
-        job = _tries.Job(admitted, body, request_id, '')
+        job = _tries.Job(admitted, body, request_id, '', token)
         return to_reply(request_id, await self.tries.run(job))
 
     async def run_tracked(
@@ -138,12 +138,12 @@
         """Run a request at most once, or tell what became of it."""
         admitted = job.admitted
         first = self.first_copy(admitted.account, job.request_id, grant)
-        failure = await self.check(admitted, job.body)
+        failure = await self.check(admitted, job.body, job.token)
+        # Another copy may have arrived while this one waited.
+        first = first and self.first_copy(
+            admitted.account, job.request_id, grant
+        )
         if failure is not None:
-            # Another copy may have arrived while this one waited.
-            first = first and self.first_copy(
-                admitted.account, job.request_id, grant
-            )
             return refused(
                 job.request_id, failure, None if first else errors.Ran.UNKNOWN
             )
@@ -156,6 +156,14 @@
             admitted.deadline - self.ticks.now(),
         )
 
+    def token(
+        self, admitted: _admission.Admitted
+    ) -> _tokens.AccountToken | None:
+        """Return a place for the account's token; None where none is due."""
+        if admitted.account == _admission.OPEN_ACCOUNT:
+            return None
+        return _tokens.AccountToken(self.shares, admitted.account, self.ticks)
+
     async def resolve(
         self, account: str, request_id: str, digest: str, wait_s: float
     ) -> Reply:
@@ -166,7 +174,10 @@
         return stored_reply(request_id, outcome)
 
     async def check(
-        self, admitted: _admission.Admitted, body: bytes
+        self,
+        admitted: _admission.Admitted,
+        body: bytes,
+        token: _tokens.AccountToken | None,
     ) -> errors.Failure | None:
         """Check quarantine and rate; take one token of the account."""
         now = self.ticks.now()
@@ -181,17 +192,10 @@
                 'this request broke the connections of several servers',
                 until,
             )
-        if admitted.account == _admission.OPEN_ACCOUNT:
+        wait_s = min(_tries.TOKEN_WAIT_S, admitted.deadline - now)
+        if token is None or await token.take(wait_s):
             return None
-        resource = f'client_account/{admitted.account}'
-        wait_s = min(TOKEN_WAIT_S, admitted.deadline - now)
-        if await self.shares.take(resource, 1.0, wait_s):
-            return None
-        return errors.Failure(
-            errors.ErrorKind.OVER_RATE,
-            'the client account is over its rate',
-            self.shares.retry_after(resource, self.ticks.now()),
-        )
+        return _tries.over_rate(token)
 
     def first_copy(
         self, account: str, request_id: str, grant: delivery.Grant
--- a/filbertstep/_tries.py
+++ b/filbertstep/_tries.py
@@ -13,6 +13,7 @@
 
 from filbertstep import _admission
 from filbertstep import _recorder
+from filbertstep import _tokens
 from filbertstep import clock
 from filbertstep import delivery
 from filbertstep import errors
@@ -23,6 +24,9 @@
 # Servers that one request is sent to at most, those that shed it included.
 MAX_TRIES: typing.Final = 4
 
+# Longest time in seconds that a request waits for a token of its account.
+TOKEN_WAIT_S: typing.Final = 0.25
+
 # Denominator that turns a 52-bit hash into a number in [0, 1).
 HASH_RANGE: typing.Final = float(1 << 52)
 
@@ -98,6 +102,7 @@
     body: bytes
     request_id: str
     digest: str
+    token: _tokens.AccountToken | None
 
 
 class Ended(typing.NamedTuple):
@@ -154,10 +159,14 @@
         """Try a request until it ends; the account's rate was checked."""
         progress = Progress(job)
         self.retries.note_request(job.admitted.service.name)
-        while True:
-            ended = await self.try_once(progress)
-            if ended is not None:
-                return ended
+        try:
+            while True:
+                ended = await self.try_once(progress)
+                if ended is not None:
+                    return ended
+        finally:
+            if job.token is not None:
+                job.token.give_back()
 
     async def try_once(self, progress: Progress) -> Ended | None:
         """Do one try; None when another one may follow."""
@@ -173,7 +182,7 @@
         progress.sending = False
         started = self.ticks.now()
         try:
-            ended = await self.begin(progress)
+            ended = await self.prepare(progress)
             if ended is not None:
                 return ended
             progress.sending = True
@@ -200,6 +209,17 @@
             key_digest=admitted.credentials.digest,
         )
 
+    async def prepare(self, progress: Progress) -> Ended | None:
+        """Do what must precede a send; the result ends the request."""
+        job = progress.job
+        if job.token is not None:
+            # The request may have waited in the queue for longer than its
+            # token was good for.
+            left = job.admitted.deadline - self.ticks.now()
+            if not await job.token.take(min(TOKEN_WAIT_S, max(0.0, left))):
+                return await self.not_run(progress, over_rate(job.token))
+        return await self.begin(progress)
+
     async def begin(self, progress: Progress) -> Ended | None:
         """Have a tracked request recorded before its first send."""
         job = progress.job
@@ -279,6 +299,8 @@
                 'the deadline passed before the request was sent',
                 1.0,
             )
+        if job.token is not None and not job.token.spend():
+            return over_rate(job.token)
         return None
 
     def finish(
@@ -328,6 +350,10 @@
         progress.tried.add(assignment.server.name)
         if outcome.kind is delivery.OutcomeKind.BROKEN:
             self.strike(progress.job)
+        if rule.following is Next.OTHER_SERVER and outcome.sent:
+            # Shed: the server did not run it, so its token is not used up.
+            if progress.job.token is not None:
+                progress.job.token.unspend()
         if self.may_follow(progress, rule.following):
             self.counters.events.labels(f'retry_{outcome.kind.name}').inc()
             return None
@@ -440,6 +466,15 @@
         )
 
 
+def over_rate(token: _tokens.AccountToken) -> errors.Failure:
+    """Return the failure of an account without a token."""
+    return errors.Failure(
+        errors.ErrorKind.OVER_RATE,
+        'the client account is over its rate',
+        token.retry_after(),
+    )
+
+
 def header(headers: tuple[tuple[str, str], ...], name: str) -> str:
     """Return the lower-case value of a header, '' without it."""
     for found, value in headers:
