--- a/tests/test_routing_regions.py
+++ b/tests/test_routing_regions.py
@@ -120,6 +120,8 @@
         bench.dispatcher.wake('bookings')
         await routing_bench.settle()
         self.assertEqual('a', waiting.result().unwrap().server.name)
+        # The attempts before do not count as placed.
+        self.assertEqual(1, bench.shift.rows['bookings'].placed)
         spilt = bench.begin()
         await routing_bench.settle()
         self.assertFalse(spilt.done())
@@ -252,6 +254,18 @@
                     bench.shares.tokens,
                 )
 
+    async def test_link_bytes_return_without_a_slot(self) -> None:
+        """Guards against bytes that leak when the slot cannot be had."""
+        bench = self.far()
+        bench.slots.owned['c'] = [5]
+        bench.health.rows['c'].ramp_since = bench.clock.now()
+        before = dict(bench.shares.tokens)
+        waiting = bench.begin()
+        await routing_bench.settle()
+        self.assertFalse(waiting.done())
+        self.assertEqual(before, bench.shares.tokens)
+        waiting.cancel()
+
     async def test_no_link_bytes(self) -> None:
         """Guards against requests that overload a link."""
         bench = self.far()
@@ -287,3 +301,38 @@
                 left = bench.shares.tokens['link/launceston-hobart']
                 if not starts:
                     self.assertEqual(270_000.0 - 16_384, left)
+
+    async def test_interactive_work_gets_link_bytes_first(self) -> None:
+        """Guards against deferrable work that takes what is left."""
+        services = {
+            name: routing_fakes.service_doc(work, {'launceston': 1.0})
+            for name, work in (
+                ('care', 'deferrable'),
+                ('orders', 'interactive'),
+            )
+        }
+        servers = {
+            name: routing_fakes.server_doc(name, 'launceston', 9)
+            for name in services
+        }
+        bench = routing_bench.Bench(
+            routing_fakes.documents(
+                services, servers, links=routing_bench.LINKS
+            )
+        )
+        bench.shares.tokens = {
+            'link/hobart-launceston': 1e6,
+            'link/launceston-hobart': 0.0,
+        }
+        care = bench.begin('care')
+        await routing_bench.settle()
+        orders = bench.begin('orders')
+        await routing_bench.settle()
+        self.assertFalse(care.done() or orders.done())
+        # Enough for one answer and the reserve, not for two answers.
+        bench.shares.tokens['link/launceston-hobart'] = 280_000.0
+        bench.tick()
+        await routing_bench.settle()
+        self.assertTrue(orders.done())
+        self.assertFalse(care.done())
+        care.cancel()
