--- a/tests/proof_scenarios.py
+++ b/tests/proof_scenarios.py
@@ -30,14 +30,14 @@
 STREAMS: typing.Final = (
     traffic.Kind('bookings', 'GET', '/bookings/items', True, 8.0, 0.55),
     traffic.Kind('bookings', 'POST', '/bookings/items', False, 8.0, 0.2),
-    traffic.Kind('calibration', 'GET', '/calibration/items', True, 8.0, 0.23),
+    traffic.Kind('calibration', 'GET', '/calibration/items', True, 8.0, 0.19),
     traffic.Kind(
         'calibration',
         'GET',
         '/calibration/items?run_ms=50&bytes=1500000&stream_ms=2000',
         True,
         8.0,
-        0.02,
+        0.06,
     ),
 )
 
@@ -507,6 +507,37 @@
     await run.deployed.kill_region(region)
 
 
+async def servers_gone(run: proof_runs.Run) -> None:
+    """Kill the backend servers of a region, whose VMs live on."""
+    region = run.random.choice(['launceston', 'burnie'])
+    group = f'backends-{region}'
+    await run.sleep(3)
+    run.deployed.note('killed', name=group)
+    run.deployed.processes.kill(group)
+    run.conditions.append(
+        lambda events: served_from_elsewhere(events, run.inside(region), group)
+    )
+
+
+def served_from_elsewhere(
+    events: list[checking.AnyEvent], vms: list[str], group: str
+) -> list[str]:
+    """Return the VMs that moved no request after their servers were gone."""
+    killed_at = next(
+        event['t']
+        for event in events
+        if event['event'] == 'killed' and event['name'] == group
+    )
+    moved = {
+        event['process']
+        for event in events
+        if event['event'] == 'placed'
+        and event['moved']
+        and event['t'] > killed_at
+    }
+    return [f'{vm} moved no request' for vm in vms if vm not in moved]
+
+
 SEPARATE: typing.Final = {
     'separate_backends': True,
     'crash_text': CRASH_TEXT,
@@ -540,5 +571,6 @@
     'stops': Scenario(planned_stops, 16.0, mix=STREAMS),
     'stops_and_answers': Scenario(stops_and_answers, 16.0, mix=STREAMS),
     'server_drains': Scenario(server_drains, 14.0),
+    'servers_gone': Scenario(servers_gone, 24.0),
     'region_gone': Scenario(region_gone, 18.0),
 }
