Record a configuration when it is learned; count refusals as an account sees them

Refusals of an account above its rate counted as wrong when other requests of it were served instead, and a withdrawn key's requests counted as due.

--- a/filbertstep/_agreement.py
+++ b/filbertstep/_agreement.py
@@ -129,6 +129,13 @@
         """Include another system's part in the heartbeats."""
         self.heartbeats.parts[part.part_name] = part
 
+    def add_listener(
+        self,
+        listener: collections.abc.Callable[[config.View, float], None],
+    ) -> None:
+        """Call a function with each view that is learned, and the time."""
+        self.learner.listeners.append(listener)
+
     async def start(self) -> None:
         """Start the loops that follow the store and the platform's list."""
         self.tasks.start('store', self.follow_store)
--- a/filbertstep/_node.py
+++ b/filbertstep/_node.py
@@ -88,7 +88,6 @@
         self.build_delivery()
         self.build_listeners()
         self.runners: list[web.AppRunner] = []
-        self.recorded_index = 0
         self.recorded_state = ''
 
     def build_agreement(self, rng: random.Random) -> None:
@@ -241,6 +240,13 @@
         ]
         for part in parts:
             self.agree.add_part(part)
+        # Recorded when learned: the next tick may come after an operator was
+        # told that the ticket is accepted.
+        self.agree.add_listener(
+            lambda view, now: self.recorder.config_applied(
+                view.head_index, view.head['ticket']
+            )
+        )
         # Agreement first: what follows acts on the views it learned.
         self.systems: list[systems.System] = [
             self.agree,
@@ -294,12 +300,6 @@
         self.counters.head_index.set(self.views.index())
         for name, queue in self.dispatcher.queues.items():
             self.counters.queued.labels(name).set(len(queue))
-        newest = self.views.newest
-        if newest is not None and newest.head_index != self.recorded_index:
-            self.recorded_index = newest.head_index
-            self.recorder.config_applied(
-                newest.head_index, newest.head['ticket']
-            )
         if self.agree.state != self.recorded_state:
             self.recorded_state = self.agree.state
             self.lookups.state = self.agree.state
--- a/filbertstep/_summary.py
+++ b/filbertstep/_summary.py
@@ -123,6 +123,7 @@
                 first_sent_at=first['t'],
                 answer=own[-1] if own else None,
                 inside_rate=bucket is not None
+                and not withdrawn(facts, first)
                 and bucket.conforms(first['t'], 1.0),
                 runs=sum(len(begins.get(one, [])) for one in ids),
                 cut=any(is_cut(one) for one in own),
@@ -131,10 +132,38 @@
     return found
 
 
+def withdrawn(facts: _facts.Facts, sent: _history.AnyEvent) -> bool:
+    """Tell whether the key of a try was withdrawn before it was sent."""
+    return any(
+        row.key_name == sent['key_name'] and row.at <= sent['t']
+        for row in facts.withdrawals
+    )
+
+
+def refused_inside_rate(some: collections.abc.Sequence[Order]) -> int:
+    """Return how many requests inside their account's rate were refused.
+
+    Of an account that sends more than its rate, the system may serve other
+    requests than those that the checker's bucket calls inside the rate.  So
+    an account's refusals count only as far as it got less than that number.
+    """
+    accounts: dict[str, list[Order]] = collections.defaultdict(list)
+    for order in some:
+        accounts[order.account].append(order)
+    total = 0
+    for own in accounts.values():
+        inside = [order for order in own if order.inside_rate]
+        served = sum(order.outcome() == 'ok' for order in own)
+        refused = sum(order.outcome() in WRONGFUL_KINDS for order in inside)
+        total += min(refused, max(0, len(inside) - served))
+    return total
+
+
 def is_cut(answer: _history.AnyEvent) -> bool:
     """Tell whether a try ended without a whole answer after it was sent."""
     if answer['status'] == 0:
-        return bool(answer['kind'] != 'connect_failed')
+        # A caller whose own time is up cuts its try itself.
+        return answer['kind'] not in ('connect_failed', 'timeout')
     return not answer['complete']
 
 
@@ -165,9 +194,7 @@
         'lost': sum(
             order.runs == 0 and order.outcome() == 'ok' for order in once
         ),
-        'refused_inside_rate': sum(
-            order.outcome() in WRONGFUL_KINDS for order in inside
-        ),
+        'refused_inside_rate': refused_inside_rate(some),
         'inside_rate': len(inside),
         'cut': sum(order.cut for order in some),
     }
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -639,3 +639,27 @@
         total = checking.summary(history, ev.FACTS)['total']
         self.assertEqual(5, total['inside_rate'])
         self.assertEqual(0, total['refused_inside_rate'])
+
+    def test_greedy_account_may_be_served_other_requests(self) -> None:
+        """Guards against refusals called wrong though the rate was served."""
+        history = []
+        for number in range(8):
+            history.append(ev.sent(1.0, f'r{number}'))
+            if number < 3:
+                history.append(ev.refused(1.1, f'r{number}', kind='over_rate'))
+            else:
+                history.append(ev.begin(1.05, f'r{number}'))
+                history.append(ev.answered(1.1, f'r{number}'))
+        total = checking.summary(history, ev.FACTS)['total']
+        self.assertEqual(0, total['refused_inside_rate'])
+
+    def test_requests_with_a_withdrawn_key_are_due_nothing(self) -> None:
+        """Guards against an account blamed for its callers' old key."""
+        gone = checking.WithdrawalFact('acme-1', 0.5)
+        facts = ev.FACTS._replace(withdrawals=(gone,))
+        history = [
+            ev.sent(1.0, 'a', key_name='acme-1'),
+            ev.refused(1.1, 'a', kind='unauthorized', status=401),
+        ]
+        total = checking.summary(history, facts)['total']
+        self.assertEqual(0, total['inside_rate'])
