Do not say 'not run' while another copy of an order may run

Two copies of an order at its owner both wait for a slot before either has an intent. When one was refused as overloaded, the caller was told 'not run', and the other copy ran. Ruled out: the intent fence, since both copies came to one owner, and a repeat by the HTTP client, since the history has one run.

The exchange counts the copies that it works on; a refusal leaves open what became of the request while another copy waits or has run. tests/test_exchange.py fails without the change.

--- a/filbertstep/_callers.py
+++ b/filbertstep/_callers.py
@@ -142,9 +142,8 @@
         parsed = delivery.parse_request_id(request_id)
         if isinstance(parsed, result.Err):
             return None
-        intents = self.exchange.intents
         first = self.exchange.first_copy('', request_id, parsed.ok_value.grant)
-        known = any(name == request_id for _, name in intents.owned.rows)
+        known = self.exchange.has_copy(request_id)
         return None if first and not known else errors.Ran.UNKNOWN
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
--- a/filbertstep/_exchange.py
+++ b/filbertstep/_exchange.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import typing
 import uuid
@@ -77,6 +78,11 @@
         self.quarantine = quarantine
         self.ticks = ticks
         self.background: set[asyncio.Task[Reply]] = set()
+        # Copies of requests that run at most once which this VM works on, by
+        # client account and request id.
+        self.copies: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     async def run(
         self, admitted: _admission.Admitted, body: bytes, given_id: str | None
@@ -135,7 +141,53 @@
     async def run_tracked(
         self, job: _tries.Job, grant: delivery.Grant
     ) -> Reply:
-        """Run a request at most once, or tell what became of it."""
+        """Run a request at most once, or tell what became of it.
+
+        A refusal of one copy says 'not run' only when no other copy can run:
+        the others may still wait for a slot, before an intent is recorded.
+        """
+        key = (job.admitted.account, job.request_id)
+        self.copies[key] += 1
+        try:
+            reply = await self.run_copy(job, grant)
+            kind = None if reply.failure is None else reply.failure.kind
+            if (
+                reply.ran is errors.Ran.NO
+                and kind is not errors.ErrorKind.NOT_RUN
+                and self.others_may_run(key)
+            ):
+                reply = reply._replace(ran=errors.Ran.UNKNOWN)
+            return reply
+        finally:
+            self.copies[key] -= 1
+            if not self.copies[key]:
+                del self.copies[key]
+
+    def others_may_run(self, key: tuple[str, str]) -> bool:
+        """Tell whether another copy than the one that ends may run or ran."""
+        if self.copies[key] > 1:
+            return True
+        own = self.intents.owned.rows.get(key)
+        if own is None:
+            return False
+        if not own.outcome.done():
+            return True
+        outcome = own.outcome.result()
+        return (
+            not isinstance(outcome, result.Err)
+            or outcome.err_value.kind is not errors.ErrorKind.NOT_RUN
+        )
+
+    def has_copy(self, request_id: str) -> bool:
+        """Tell whether this VM has had or has an id, of any account."""
+        return any(
+            name == request_id
+            for keys in (self.intents.owned.rows, self.copies)
+            for _, name in keys
+        )
+
+    async def run_copy(self, job: _tries.Job, grant: delivery.Grant) -> Reply:
+        """Run one copy of a request, or resolve its id."""
         admitted = job.admitted
         first = self.first_copy(admitted.account, job.request_id, grant)
         failure = await self.check(admitted, job.body, job.token)
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,114 @@
+"""Tests of what refusals of copies of one request say."""
+
+import asyncio
+import types
+import typing
+import unittest
+
+from filbertstep import _admission
+from filbertstep import _exchange
+from filbertstep import _tries
+from filbertstep import clock
+from filbertstep import delivery
+from filbertstep import errors
+from filbertstep import routing
+
+MINUTE: typing.Final = delivery.minute_of(clock.FakeClock().now())
+GRANT: typing.Final = delivery.Grant('vm-1', 'a', 'vm-1', 'a', MINUTE)
+REQUEST_ID: typing.Final = delivery.format_request_id(
+    delivery.RequestId(GRANT, '6b1f0a52-9d6a-4d0b-8a7c-0f2f3c1f2a10')
+)
+REFUSED: typing.Final = errors.Failure(
+    errors.ErrorKind.OVERLOADED, 'no slot', 1.0
+)
+
+
+class FakeTries:
+    """Ends each copy as its future says."""
+
+    def __init__(self) -> None:
+        self.waiting: list[asyncio.Future[_tries.Ended]] = []
+
+    async def run(self, job: _tries.Job) -> _tries.Ended:
+        """Wait until the test ends the copy."""
+        future = asyncio.get_running_loop().create_future()
+        self.waiting.append(future)
+        return typing.cast(_tries.Ended, await future)
+
+
+class TestCopies(unittest.IsolatedAsyncioTestCase):
+    """Two copies of an order at its owner."""
+
+    def setUp(self) -> None:
+        """Build an exchange whose tries the test ends."""
+        self.ticks = clock.FakeClock()
+        self.tries = FakeTries()
+        self.intents = delivery.IntentSystem(
+            'vm-1', 'a', self.ticks, typing.cast(typing.Any, None)
+        )
+        self.exchange = _exchange.Exchange(
+            typing.cast(typing.Any, self.tries),
+            typing.cast(typing.Any, None),
+            self.intents,
+            typing.cast(typing.Any, None),
+            routing.QuarantineSystem('vm-1', 'a'),
+            self.ticks,
+        )
+
+    def send(self) -> asyncio.Task[_exchange.Reply]:
+        """Send one copy."""
+        admitted = types.SimpleNamespace(
+            account=_admission.OPEN_ACCOUNT,
+            tracked=True,
+            deadline=self.ticks.now() + 5.0,
+            raw=types.SimpleNamespace(
+                method='POST', path='/bookings', query='', headers=()
+            ),
+        )
+        return asyncio.create_task(
+            self.exchange.run(
+                typing.cast(typing.Any, admitted), b'order', REQUEST_ID
+            )
+        )
+
+    async def settle(self) -> None:
+        """Let all tasks run until they wait."""
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    async def test_refusal_while_another_copy_waits(self) -> None:
+        """Guards against 'not run' before the other copy runs."""
+        first, second = self.send(), self.send()
+        await self.settle()
+        self.tries.waiting[1].set_result(_tries.Ended(failure=REFUSED))
+        self.assertIs(errors.Ran.UNKNOWN, (await second).ran)
+        self.assertTrue(self.exchange.has_copy(REQUEST_ID))
+        # Nothing can run any more when the last copy is refused.
+        self.tries.waiting[0].set_result(_tries.Ended(failure=REFUSED))
+        self.assertIs(errors.Ran.NO, (await first).ran)
+        self.assertFalse(self.exchange.has_copy(REQUEST_ID))
+
+    async def test_refusal_after_another_copy_ran(self) -> None:
+        """Guards against 'not run' after the other copy ran."""
+        first, second = self.send(), self.send()
+        await self.settle()
+        begun = await self.intents.begin(
+            _admission.OPEN_ACCOUNT, REQUEST_ID, 'digest'
+        )
+        self.assertTrue(begun.unwrap().run)
+        await self.intents.finish(
+            _admission.OPEN_ACCOUNT,
+            REQUEST_ID,
+            delivery.StoredAnswer(200, (), b'done'),
+        )
+        self.tries.waiting[0].set_result(_tries.Ended(status=200))
+        self.assertIs(errors.Ran.YES, (await first).ran)
+        self.tries.waiting[1].set_result(_tries.Ended(failure=REFUSED))
+        self.assertIs(errors.Ran.UNKNOWN, (await second).ran)
+
+    async def test_refusal_of_the_only_copy(self) -> None:
+        """Guards against 'unknown' when nothing ran."""
+        copy = self.send()
+        await self.settle()
+        self.tries.waiting[0].set_result(_tries.Ended(failure=REFUSED))
+        self.assertIs(errors.Ran.NO, (await copy).ran)
