Settle intents and release slots however a request ends

- A tracked request whose caller had left dropped its reply.
When the answer streamed, nobody read it or released its slot, so the slot stayed in use.
The reply is now ended, and ending it closes the stream.
- An exception while a tracked request was tried left its intent running: its copies waited for their whole deadline and the owner kept the row for good.
The intent is now abandoned (outcome unknown).
- A refused copy of a tracked request said 'not run' while another copy of the same id waited for a slot and then ran, because the owner's table shows an id only after its intent.
Copies in progress are now counted, and a refusal among several says 'unknown'.
The id's lookup at the backup was ruled out as the cause: it already orders intents and questions.
- A client account named 'open' had no rate, and anyone could ask for its outcomes, because that was the name of the account of open services.
The name is now '(open)', which no ticket can use.
- The request id of an idempotent request without an id was not known to the listener, so the answer of a withdrawn key was not cut after 5 s.
- Refusals before the key is checked scanned all owned ids; rows are now counted by id.
- Retry budgets of deleted services were kept; requests that wait with a withdrawn key stayed in the queue; answers of a VM without fresh evidence were not counted.

--- a/filbertstep/_admission.py
+++ b/filbertstep/_admission.py
@@ -15,8 +15,10 @@
 from filbertstep import delivery
 from filbertstep import errors
 
-# Account name in metrics and records of requests on services open to all.
-OPEN_ACCOUNT: typing.Final = 'open'
+# Account name in metrics and records of requests on services open to all.  No
+# client account can have it, because names hold no brackets: such an account
+# would have no rate, and everyone could ask for its outcomes.
+OPEN_ACCOUNT: typing.Final = '(open)'
 
 # Weight of the open account in fair queueing, requests a second.
 OPEN_WEIGHT: typing.Final = 1.0
--- a/filbertstep/_callers.py
+++ b/filbertstep/_callers.py
@@ -144,7 +144,7 @@
             return None
         intents = self.exchange.intents
         first = self.exchange.first_copy('', request_id, parsed.ok_value.grant)
-        known = any(name == request_id for _, name in intents.owned.rows)
+        known = request_id in intents.owned.ids
         return None if first and not known else errors.Ran.UNKNOWN
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
@@ -153,6 +153,7 @@
         raw = raw_request(request)
         request_id = request.headers.get(REQUEST_ID_HEADER, '')
         if not self.freshness.fresh(started):
+            self.count('', '', errors.ErrorKind.NO_FRESH_CONFIG)
             return self.unconfirmed(request_id)
         admitted = self.admission.admit(raw, started)
         if isinstance(admitted, result.Err):
@@ -220,9 +221,12 @@
         if isinstance(body, result.Err):
             ran = self.unsure(request_id) if admitted.tracked else None
             return _exchange.refused(request_id, body.err_value, ran)
-        activity.request_id = request_id
+        # Known here, so that the answer of a withdrawn key can be cut.
+        activity.request_id = request_id or self.exchange.new_id(
+            admitted.tracked
+        )
         return await self.exchange.run(
-            admitted, body.ok_value, request_id or None
+            admitted, body.ok_value, activity.request_id
         )
 
     async def read_body(
@@ -322,6 +326,11 @@
         views = self.admission.views
         if views.index() != self.checked_index:
             self.checked_index = views.index()
+            newest = views.newest
+            if newest is not None:
+                retries = self.exchange.tries.retries
+                retries.keep(newest.config.services.keys())
+            self.refuse_waiting(now)
             for activity in self.active.values():
                 if activity.withdrawn_at is None and not (
                     self.admission.still_allowed(activity.admitted, now)
@@ -332,6 +341,21 @@
             if since is not None and now - since >= WITHDRAWN_GRACE_S:
                 self.cut(activity)
 
+    def refuse_waiting(self, now: float) -> None:
+        """Refuse requests that wait for a slot with a withdrawn key."""
+        views = self.admission.views
+        self.exchange.tries.dispatcher.fail_where(
+            lambda request: (
+                request.key_digest is not None
+                and request.client_account
+                != views.key_account(request.key_digest, now)
+                and request.client_account != _admission.OPEN_ACCOUNT
+            ),
+            errors.Failure(
+                errors.ErrorKind.UNAUTHORIZED, 'the key was withdrawn'
+            ),
+        )
+
     def cut(self, activity: Activity) -> None:
         """End one answer whose key was withdrawn."""
         self.counters.events.labels('withdrawn_answer_cut').inc()
--- a/filbertstep/_exchange.py
+++ b/filbertstep/_exchange.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import typing
 import uuid
@@ -27,6 +28,12 @@
 # Longest time in seconds that a request waits for tokens of its account.
 TOKEN_WAIT_S: typing.Final = 0.25
 
+# Kinds of refusals that hold for an id whatever its other copies do: the id
+# is fenced, or the refused body is not that of the other copies.
+FINAL_KINDS: typing.Final = frozenset(
+    {errors.ErrorKind.NOT_RUN, errors.ErrorKind.ID_REUSED}
+)
+
 
 class Reply(typing.NamedTuple):
     """What the caller gets.
@@ -79,33 +86,62 @@
         self.quarantine = quarantine
         self.ticks = ticks
         self.background: set[asyncio.Task[Reply]] = set()
+        # Copies of tracked requests in progress, by account and request id.
+        self.copies: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    def new_id(self, tracked: bool) -> str:
+        """Return an id for a request whose caller gave none."""
+        return self.own_id() if tracked else f'r-{uuid.uuid4().hex}'
 
     async def run(
-        self, admitted: _admission.Admitted, body: bytes, given_id: str | None
+        self, admitted: _admission.Admitted, body: bytes, request_id: str
     ) -> Reply:
-        """Run a request and return its reply; ``given_id`` is the caller's."""
+        """Run a request and return its reply."""
         if not admitted.tracked:
-            request_id = given_id or f'r-{uuid.uuid4().hex}'
             return await self.run_idempotent(admitted, body, request_id)
-        if given_id is None:
-            given_id = self.own_id()
-        parsed = delivery.parse_request_id(given_id)
+        parsed = delivery.parse_request_id(request_id)
         if isinstance(parsed, result.Err):
             return refused('', parsed.err_value)
         job = _tries.Job(
             admitted,
             body,
-            given_id,
+            request_id,
             _admission.request_digest(admitted.raw, body),
         )
         # A request that runs at most once is finished although its caller
         # left, so that the caller can ask for the outcome.
         task = asyncio.get_running_loop().create_task(
-            self.run_tracked(job, parsed.ok_value.grant)
+            self.run_copy(job, parsed.ok_value.grant)
         )
         self.background.add(task)
         task.add_done_callback(self.background.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(discard_reply)
+            raise
+
+    async def run_copy(self, job: _tries.Job, grant: delivery.Grant) -> Reply:
+        """Run one copy of a tracked request.
+
+        A refusal of one copy says nothing about another one in progress.
+        """
+        key = (job.admitted.account, job.request_id)
+        self.copies[key] += 1
+        try:
+            reply = await self.run_tracked(job, grant)
+            shared = self.copies[key] > 1
+        finally:
+            self.copies[key] -= 1
+            if not self.copies[key]:
+                del self.copies[key]
+        failure = reply.failure
+        if shared and failure is not None and reply.ran is errors.Ran.NO:
+            if failure.kind not in FINAL_KINDS:
+                return reply._replace(ran=errors.Ran.UNKNOWN)
+        return reply
 
     def own_id(self) -> str:
         """Return a request id of this process as owner.
@@ -219,6 +255,18 @@
         return None
 
 
+def discard_reply(task: asyncio.Task[Reply]) -> None:
+    """End the answer of a request whose caller has left.
+
+    Its slot would otherwise stay in use for good when the answer streams.
+    """
+    if task.cancelled() or task.exception() is not None:
+        return
+    reply = task.result()
+    if reply.ended is not None:
+        reply.ended(0, False)
+
+
 def target(raw: _admission.RawRequest) -> str:
     """Return the path with its query."""
     return f'{raw.path}?{raw.query}' if raw.query else raw.path
--- a/filbertstep/_intent_owner.py
+++ b/filbertstep/_intent_owner.py
@@ -1,6 +1,7 @@
 """The owner's records of the request ids that it runs."""
 
 import asyncio
+import collections
 import dataclasses
 import enum
 
@@ -46,6 +47,8 @@
 
     def __init__(self, max_records: int) -> None:
         self.rows: dict[_intent_table.Key, Owned] = {}
+        # Number of rows by request id, for refusals that know no account.
+        self.ids: collections.Counter[str] = collections.Counter()
         self.max_records = max_records
         self.budget = _intent_table.AnswerBudget()
         # Greatest minute of forgotten ids that may have run, by backup.  When
@@ -69,6 +72,7 @@
         future: asyncio.Future[_intent_messages.Outcome]
         future = asyncio.get_running_loop().create_future()
         self.rows[key] = own = Owned(grant, digest, now, future)
+        self.ids[key[1]] += 1
         return result.Ok(own)
 
     def keep(self, own: Owned, answer: _intent_table.StoredAnswer) -> None:
@@ -93,9 +97,16 @@
         for key in expired:
             self.forget(key)
 
+    def drop(self, key: _intent_table.Key) -> Owned:
+        """Remove and return a row."""
+        self.ids[key[1]] -= 1
+        if not self.ids[key[1]]:
+            del self.ids[key[1]]
+        return self.rows.pop(key)
+
     def forget(self, key: _intent_table.Key) -> None:
         """Drop a settled row, but remember that its id may have run."""
-        own = self.rows.pop(key)
+        own = self.drop(key)
         self.budget.drop(own.outcome.result().ok())
         if own.had_go:
             backup = (own.grant.backup, own.grant.backup_incarnation)
--- a/filbertstep/_intents.py
+++ b/filbertstep/_intents.py
@@ -167,7 +167,7 @@
         outcome = own.outcome.result()
         if applied.reply is _intent_table.Reply.EXPIRED:
             # Made-up ids must not fill the table.
-            del self.owned.rows[key]
+            self.owned.drop(key)
         return outcome.map(lambda answer: Begun(False, answer))
 
     def intend_failed(
@@ -183,7 +183,7 @@
         ):
             own.settle(result.Err(failure))
             # The backup said that it made no record for this request.
-            del self.owned.rows[key]
+            self.owned.drop(key)
             return result.Err(failure)
         self.refuse(key, own)
         return _intent_messages.not_run(
--- a/filbertstep/_tries.py
+++ b/filbertstep/_tries.py
@@ -119,6 +119,7 @@
     def __init__(self, job: Job) -> None:
         self.job = job
         self.begun = False
+        self.settled = False
         self.tried: set[str] = set()
         self.repeated = False
         self.sending = False
@@ -154,10 +155,25 @@
         """Try a request until it ends; the account's rate was checked."""
         progress = Progress(job)
         self.retries.note_request(job.admitted.service.name)
-        while True:
-            ended = await self.try_once(progress)
-            if ended is not None:
-                return ended
+        try:
+            while True:
+                ended = await self.try_once(progress)
+                if ended is not None:
+                    return ended
+        except BaseException:
+            await self.abandon(progress)
+            raise
+
+    async def abandon(self, progress: Progress) -> None:
+        """Settle the intent of a request that ended by an exception.
+
+        Otherwise its copies would wait for it, and its row would never be
+        forgotten.
+        """
+        job = progress.job
+        if progress.begun and not progress.settled:
+            progress.settled = True
+            await self.intents.abandon(job.admitted.account, job.request_id)
 
     async def try_once(self, progress: Progress) -> Ended | None:
         """Do one try; None when another one may follow."""
@@ -381,6 +397,7 @@
         """End a request that was not run and never will be."""
         job = progress.job
         if progress.begun:
+            progress.settled = True
             await self.intents.withdraw(job.admitted.account, job.request_id)
         return Ended(failure=failure)
 
@@ -388,9 +405,8 @@
         self, progress: Progress, kind: errors.ErrorKind
     ) -> Ended:
         """End a request that may have run."""
-        job = progress.job
         if progress.begun:
-            await self.intents.abandon(job.admitted.account, job.request_id)
+            await self.abandon(progress)
             kind = errors.ErrorKind.OUTCOME_UNKNOWN
         return Ended(
             failure=errors.Failure(kind, 'the backend server gave no answer'),
@@ -408,6 +424,7 @@
         job = progress.job
         headers = delivery.answer_headers(outcome.headers)
         if progress.begun:
+            progress.settled = True
             await self.intents.finish(
                 job.admitted.account,
                 job.request_id,
@@ -419,7 +436,12 @@
                 ),
             )
 
+        stream = outcome.stream
+
         def stream_ended(size: int, complete: bool) -> None:
+            if stream is not None:
+                # A caller that left early has not read it to its end.
+                stream.close()
             now = self.ticks.now()
             observed = (
                 routing.Outcome.ANSWERED if complete
@@ -430,13 +452,12 @@
             )
             self.dispatcher.finish(assignment, seen, now)
 
-        streams = outcome.stream is not None
         return Ended(
             status=outcome.status,
             headers=headers,
             body=outcome.body,
-            stream=outcome.stream,
-            stream_ended=stream_ended if streams else None,
+            stream=stream,
+            stream_ended=None if stream is None else stream_ended,
         )
 
 
--- a/filbertstep/delivery.py
+++ b/filbertstep/delivery.py
@@ -1,5 +1,6 @@
 """Delivery: at-most-once ids, header rules, one try at a backend server."""
 
+from filbertstep._forward import AnswerStream as AnswerStream
 from filbertstep._forward import Attempt as Attempt
 from filbertstep._forward import BrokenAnswerError as BrokenAnswerError
 from filbertstep._forward import Forwarder as Forwarder
--- /dev/null
+++ b/tests/exchange_bench.py
@@ -0,0 +1,372 @@
+"""A node's request path with fakes at its ends.
+
+Admission, exchange, tries, intents and quarantine are real.  Slots and
+backend servers are fakes that count what is taken and given back.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import typing
+
+import result
+
+from filbertstep import _admission
+from filbertstep import _exchange
+from filbertstep import _recorder
+from filbertstep import _tries
+from filbertstep import checking
+from filbertstep import clock
+from filbertstep import config
+from filbertstep import delivery
+from filbertstep import errors
+from filbertstep import metrics
+from filbertstep import routing
+from filbertstep import systems
+from filbertstep import transport
+from tests import routing_fakes
+
+ACCOUNT = 'cafe-1'
+SECRET = 'fbk-0123456789abcdefghijklmnopqrstuv'
+MAX_BODY = 1000
+
+Kind = delivery.OutcomeKind
+Step = collections.abc.Callable[
+    [delivery.Attempt, delivery.OnSending],
+    collections.abc.Awaitable[delivery.Outcome],
+]
+
+
+def service_docs() -> dict[str, dict[str, typing.Any]]:
+    """Return services with nested paths, one of them open to all."""
+    own = {'max_body_bytes': MAX_BODY}
+    return {
+        'bookings': {**routing_fakes.service_doc(), **own},
+        'urgent': {
+            **routing_fakes.service_doc(),
+            **own,
+            'path_prefix': '/bookings/urgent',
+        },
+        'parts': {
+            **routing_fakes.service_doc(),
+            **own,
+            'path_prefix': '/parts',
+            'open': True,
+        },
+    }
+
+
+def documents(with_key: bool = True) -> config.Documents:
+    """Return a configuration with one client account and its key."""
+    found = routing_fakes.documents(services=service_docs())
+    found[config.Kind.CLIENT_ACCOUNT] = {
+        ACCOUNT: {'rate': 20.0, 'burst': 40.0, 'services': ['bookings']}
+    }
+    if with_key:
+        found[config.Kind.KEY] = {
+            'key-1': {
+                'client_account': ACCOUNT,
+                'digest': delivery.key_digest(SECRET),
+            }
+        }
+    return found
+
+
+def raw(
+    method: str = 'GET',
+    path: str = '/bookings/1',
+    key: str | None = SECRET,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> _admission.RawRequest:
+    """Return a request as it came."""
+    if key is not None:
+        headers = (*headers, ('Authorization', f'Bearer {key}'))
+    return _admission.RawRequest(method, path, '', headers)
+
+
+class FakeShares(routing_fakes.FakeShares):
+    """Buckets of which a test fixes the answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.granted = True
+        # A test that waits here holds a request before its slot.
+        self.gate: asyncio.Event | None = None
+
+    async def take(
+        self, resource: str, amount: float, timeout_s: float
+    ) -> bool:
+        """Return the fixed answer."""
+        self.asked.append(resource)
+        if self.gate is not None:
+            await self.gate.wait()
+        return self.granted
+
+
+class FakeDispatcher:
+    """Hands out servers in turn; checks that each comes back once."""
+
+    def __init__(self) -> None:
+        self.refusals: list[errors.Failure] = []
+        self.requests: list[routing.DispatchRequest] = []
+        self.running: set[int] = set()
+        self.seen: list[routing.Observation] = []
+        self.gate: asyncio.Event | None = None
+        self.failed: list[errors.Failure] = []
+
+    async def assign(
+        self, request: routing.DispatchRequest
+    ) -> result.Result[routing.Assignment, errors.Failure]:
+        """Return the next server, or the next refusal."""
+        self.requests.append(request)
+        if self.gate is not None:
+            await self.gate.wait()
+        if self.refusals:
+            return result.Err(self.refusals.pop(0))
+        number = len(self.requests)
+        self.running.add(number)
+        name = f'server-{number}'
+        return result.Ok(
+            routing.Assignment(
+                number,
+                config.BackendServer(
+                    name,
+                    request.service.name,
+                    '127.0.0.1:9',
+                    'hobart',
+                    'hobart-a',
+                    2,
+                    400,
+                    1.0,
+                ),
+                systems.SlotHold(
+                    name,
+                    0,
+                    request.service.name,
+                    'hobart',
+                    None,
+                    request.deadline,
+                ),
+                routing.Placement(
+                    'hobart', 'hobart', False, request.service.name, 0, 0
+                ),
+                routing.LinkReservation(None, None, 0.0, 0.0),
+            )
+        )
+
+    def finish(
+        self,
+        assignment: routing.Assignment,
+        observation: routing.Observation,
+        now: float,
+    ) -> None:
+        """Take a slot back; raises KeyError for the second time."""
+        self.running.remove(assignment.number)
+        self.seen.append(observation)
+
+    def fail_where(
+        self,
+        predicate: collections.abc.Callable[[routing.DispatchRequest], bool],
+        failure: errors.Failure,
+    ) -> int:
+        """Refuse waiting requests; none waits here."""
+        self.failed.append(failure)
+        return 0
+
+
+class FakeForwarder:
+    """Plays outcomes, one for each try; the last one is repeated."""
+
+    def __init__(self) -> None:
+        self.outcomes: list[delivery.Outcome | Exception] = [answered()]
+        self.attempts: list[delivery.Attempt] = []
+        self.gate: asyncio.Event | None = None
+        self.cancelled: list[str] = []
+
+    async def send(
+        self, attempt: delivery.Attempt, on_sending: delivery.OnSending
+    ) -> delivery.Outcome:
+        """Ask for permission as the real one does, then play an outcome."""
+        failure = on_sending()
+        if failure is not None:
+            return delivery.Outcome(Kind.NOT_SENT, False, failure=failure)
+        self.attempts.append(attempt)
+        if self.gate is not None:
+            await self.gate.wait()
+        found = self.outcomes[0]
+        if len(self.outcomes) > 1:
+            self.outcomes.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+    def cancel(self, request_id: str) -> bool:
+        """Note which request is cut."""
+        self.cancelled.append(request_id)
+        return True
+
+
+class FakeStream:
+    """A streamed answer that notes whether it was closed."""
+
+    def __init__(self, pieces: list[bytes], broken: bool = False) -> None:
+        self.pieces = pieces
+        self.broken = broken
+        self.closed = False
+        # A test that waits here holds the answer before its last piece.
+        self.gate: asyncio.Event | None = None
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the pieces."""
+        for number, piece in enumerate(self.pieces):
+            if self.gate is not None and number == len(self.pieces) - 1:
+                await self.gate.wait()
+            yield piece
+        if self.broken:
+            raise delivery.BrokenAnswerError('cut')
+
+    def close(self) -> None:
+        """Note it."""
+        self.closed = True
+
+
+def answered(
+    body: bytes = b'ok', stream: FakeStream | None = None
+) -> delivery.Outcome:
+    """Return the outcome of an answer."""
+    return delivery.Outcome(
+        Kind.ANSWERED,
+        True,
+        200,
+        (('Content-Type', 'text/plain'),),
+        b'' if stream is not None else body,
+        stream=typing.cast(delivery.AnswerStream | None, stream),
+    )
+
+
+class FakeMembership(systems.Membership):
+    """Names the backup with its minute."""
+
+    def __init__(self, ticks: clock.Clock) -> None:
+        self.ticks = ticks
+
+    def live(self, now: float) -> list[systems.LiveVm]:
+        """Return the backup."""
+        return [
+            systems.LiveVm(
+                'backup',
+                'i1',
+                'hobart',
+                'hobart-b',
+                'serving',
+                '',
+                delivery.minute_of(now),
+                0.0,
+            )
+        ]
+
+
+class FakeFreshness(systems.Freshness):
+    """Says what a test sets."""
+
+    def __init__(self) -> None:
+        self.value = True
+
+    def fresh(self, now: float) -> bool:
+        """Return the value."""
+        return self.value
+
+
+class Bench:
+    """The request path of VM ``owner``, whose ids VM ``backup`` records."""
+
+    def __init__(self) -> None:
+        self.clock = clock.FakeClock(6000.0)
+        self.views = config.ViewTable()
+        routing_fakes.learn(self.views, documents(), 1, 0.0)
+        self.peers = transport.FakePeers()
+        self.intents, self.backup, self.third = (
+            self.intent_system(vm) for vm in ('owner', 'backup', 'third')
+        )
+        self.shares = FakeShares()
+        self.dispatcher = FakeDispatcher()
+        self.forwarder = FakeForwarder()
+        self.freshness = FakeFreshness()
+        self.quarantine = routing.QuarantineSystem('owner', 'i1')
+        self.admission = _admission.Admission(self.views)
+        self.recorder = _recorder.Recorder(
+            checking.Writer(None, 'owner', 'i1')
+        )
+        self.counters = metrics.Metrics()
+        self.settled: collections.Counter[str] = collections.Counter()
+        self.tries = _tries.Tries(
+            self.admission,
+            typing.cast(routing.Dispatcher, self.dispatcher),
+            self.intents,
+            typing.cast(delivery.Forwarder, self.forwarder),
+            self.quarantine,
+            self.freshness,
+            self.clock,
+            self.counters,
+            self.recorder,
+        )
+        self.exchange = _exchange.Exchange(
+            self.tries,
+            self.shares,
+            self.intents,
+            FakeMembership(self.clock),
+            self.quarantine,
+            self.clock,
+        )
+        self.suffix = 0
+
+    def intent_system(self, vm: str) -> delivery.IntentSystem:
+        """Return the intent system of one VM."""
+        system = delivery.IntentSystem(
+            vm, 'i1', self.clock, self.peers, sleep=self.sleep
+        )
+        for path, handler in system.handlers().items():
+            self.peers.handlers[vm, path] = handler
+        return system
+
+    async def sleep(self, seconds: float) -> None:
+        """Let the fake clock pass, and other tasks run."""
+        self.clock.advance(seconds)
+        await asyncio.sleep(0)
+
+    def new_id(self, owner: str = 'owner') -> str:
+        """Return a request id that nobody has seen."""
+        self.suffix += 1
+        minute = delivery.minute_of(self.clock.now())
+        grant = delivery.Grant(owner, 'i1', 'backup', 'i1', minute)
+        return f'{delivery.format_grant(grant)}~{self.suffix}'
+
+    def admit(self, request: _admission.RawRequest) -> _admission.Admitted:
+        """Return a request that must be admitted."""
+        return self.admission.admit(request, self.clock.now()).unwrap()
+
+    async def run(
+        self,
+        method: str = 'GET',
+        request_id: str = 'r-1',
+        body: bytes = b'',
+        path: str = '/bookings/1',
+    ) -> _exchange.Reply:
+        """Run one request."""
+        admitted = self.admit(raw(method, path))
+        return await self.exchange.run(admitted, body, request_id)
+
+    async def settle(self) -> None:
+        """Let all tasks run."""
+        for _ in range(30):
+            await asyncio.sleep(0)
+
+    def record_state(self, request_id: str) -> str:
+        """Return the state of an id at the backup."""
+        record = self.backup.backup.table.records.get((ACCOUNT, request_id))
+        return 'none' if record is None else record.state.value
+
+    def allow_retries(self) -> None:
+        """Fill the retry budget."""
+        for _ in range(100):
+            self.tries.retries.note_request('bookings')
--- /dev/null
+++ b/tests/test_exchange_ends.py
@@ -0,0 +1,152 @@
+"""Tests of how requests end when callers leave or something raises."""
+
+import asyncio
+
+from filbertstep import delivery
+from filbertstep import errors
+from filbertstep import routing
+from tests import exchange_bench
+from tests import test_exchange
+
+Kind = delivery.OutcomeKind
+
+
+class TestLeavingCallers(test_exchange.ExchangeCase):
+    """The caller disconnects at any point."""
+
+    async def test_at_every_step(self) -> None:
+        """Guards against a slot that is not released, or released twice."""
+        for method in ('GET', 'POST'):
+            for steps in range(25):
+                with self.subTest(method=method, steps=steps):
+                    await self.leave_after(method, steps)
+
+    async def leave_after(self, method: str, steps: int) -> None:
+        """Cancel a request after some turns of the event loop."""
+        self.setUp()
+        bench = self.bench
+        gate = self.forwarder.gate = asyncio.Event()
+        request_id = bench.new_id()
+        task = asyncio.ensure_future(bench.run(method, request_id))
+        for step in range(steps):
+            await asyncio.sleep(0)
+            if step == 12:
+                gate.set()
+        task.cancel()
+        gate.set()
+        await asyncio.gather(task, return_exceptions=True)
+        await bench.settle()
+        self.assertEqual(set(), self.dispatcher.running)
+        self.assertEqual(set(), bench.exchange.background)
+        self.assertEqual({}, dict(bench.exchange.copies))
+        if method == 'POST' and steps > 0:
+            # It is finished without its caller, who can ask for it.
+            self.assertEqual('done', bench.record_state(request_id))
+
+    async def test_slot_of_a_cancelled_send_stays_busy(self) -> None:
+        """Guards against a second request on a server that still works."""
+        self.forwarder.gate = asyncio.Event()
+        task = asyncio.ensure_future(self.bench.run())
+        await self.bench.settle()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        seen = self.dispatcher.seen[0]
+        self.assertEqual(routing.Outcome.CANCELLED, seen.outcome)
+        self.assertTrue(seen.run_may_continue)
+
+    async def test_stream_of_a_caller_that_left(self) -> None:
+        """Guards against a slot that a streamed answer holds for good.
+
+        The reply of a tracked request whose caller had left was dropped, so
+        nobody read its stream or gave its slot back.
+        """
+        for finished_first in (False, True):
+            with self.subTest(finished_first=finished_first):
+                self.setUp()
+                stream = exchange_bench.FakeStream([b'a', b'b'])
+                self.forwarder.outcomes = [
+                    exchange_bench.answered(stream=stream)
+                ]
+                gate = self.forwarder.gate = asyncio.Event()
+                task = asyncio.ensure_future(
+                    self.bench.run('POST', self.bench.new_id())
+                )
+                await self.bench.settle()
+                if not finished_first:
+                    task.cancel()
+                gate.set()
+                for _ in range(100):
+                    background = self.bench.exchange.background
+                    if all(one.done() for one in background):
+                        break
+                    await asyncio.sleep(0)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                await self.bench.settle()
+                self.assertTrue(stream.closed)
+                self.assertEqual(set(), self.dispatcher.running)
+
+
+class TestStreams(test_exchange.ExchangeCase):
+    """Answers that are passed on in pieces."""
+
+    async def test_slot_is_held_until_the_end(self) -> None:
+        """Guards against a slot that is free while its answer still runs."""
+        for complete, outcome in (
+            (True, routing.Outcome.ANSWERED),
+            (False, routing.Outcome.CANCELLED),
+        ):
+            self.setUp()
+            stream = exchange_bench.FakeStream([b'a'])
+            self.forwarder.outcomes = [exchange_bench.answered(stream=stream)]
+            request_id = self.bench.new_id()
+            reply = await self.bench.run('POST', request_id)
+            self.assertEqual(1, len(self.dispatcher.running))
+            assert reply.ended is not None
+            reply.ended(1, complete)
+            self.assertTrue(stream.closed)
+            seen = self.dispatcher.seen[0]
+            self.assertEqual(outcome, seen.outcome)
+            self.assertEqual(not complete, seen.run_may_continue)
+            copy = await self.bench.run('POST', request_id)
+            # The body was not kept, but that it ran is known.
+            self.assertEqual(errors.Ran.YES, copy.ran)
+
+
+class TestExceptions(test_exchange.ExchangeCase):
+    """Faults of the program while a request runs."""
+
+    async def test_intent_is_settled(self) -> None:
+        """Guards against an intent that no copy can ever get past.
+
+        An exception in the forwarder left the id running: copies waited for
+        their whole deadline and the owner never forgot the row.
+        """
+        request_id = self.bench.new_id()
+        self.forwarder.outcomes = [ValueError('x')]
+        with self.assertRaises(ValueError):
+            await self.bench.run('POST', request_id)
+        own = self.bench.intents.owned.rows[exchange_bench.ACCOUNT, request_id]
+        self.assertTrue(own.outcome.done())
+        seen = self.dispatcher.seen[0]
+        self.assertTrue(seen.run_may_continue)
+        copy = await self.bench.run('POST', request_id)
+        self.assertEqual(errors.Ran.UNKNOWN, copy.ran)
+        self.assertEqual(1, len(self.forwarder.attempts))
+
+    async def test_idempotent_request(self) -> None:
+        """Guards against a slot that an exception keeps."""
+        self.forwarder.outcomes = [ValueError('x')]
+        with self.assertRaises(ValueError):
+            await self.bench.run()
+
+    async def test_lost_answer_of_the_backup(self) -> None:
+        """Guards against a run whose intent is not known to be recorded."""
+        self.bench.peers.answer_lost.add(('backup', '/peer/intent'))
+        request_id = self.bench.new_id()
+        reply = await self.bench.run('POST', request_id)
+        self.check_refusal(reply, errors.ErrorKind.NOT_RUN, errors.Ran.NO)
+        self.assertEqual([], self.forwarder.attempts)
+        self.bench.peers.answer_lost.clear()
+        await self.bench.settle()
+        self.assertEqual('fenced', self.bench.record_state(request_id))
