Test the listeners; keep keys out of logs of malformed heads

- A malformed or oversized head was logged in full by the HTTP library, with the caller's key, because its logger falls back to standard error.
The listeners now use a silent logger; faults of the program are still logged by closed_errors. aiohttp answers such heads itself with 400.
- GET /v1/outcome without a key asked for the record of the open account and answered 'not run' for a request that ran under a key that the caller had left out.
Where no service is open a key is now required, and a refusal says 'unknown' for an id whose first copy may have run.
- The cut of answers of withdrawn keys has a module of its own.

--- a/filbertstep/_callers.py
+++ b/filbertstep/_callers.py
@@ -11,6 +11,7 @@
 from filbertstep import _exchange
 from filbertstep import _recorder
 from filbertstep import _web
+from filbertstep import _withdrawals
 from filbertstep import burn
 from filbertstep import clock
 from filbertstep import delivery
@@ -29,19 +30,6 @@
 # Time in seconds for which ``/v1/outcome`` waits for a running request.
 OUTCOME_WAIT_S: typing.Final = 1.0
 
-# Time in seconds after a withdrawal until running answers of the key are cut.
-WITHDRAWN_GRACE_S: typing.Final = 5.0
-
-
-class Activity:
-    """A request that this VM is working on."""
-
-    def __init__(self, admitted: _admission.Admitted) -> None:
-        self.admitted = admitted
-        self.request_id = ''
-        self.withdrawn_at: float | None = None
-        self.stream_task: asyncio.Task[typing.Any] | None = None
-
 
 class Callers:
     """Serves callers; counts every answer."""
@@ -63,15 +51,16 @@
         self.exchange = exchange
         self.lookups = lookups
         self.freshness = freshness
-        self.forwarder = forwarder
         self.ticks = ticks
         self.counters = counters
         self.burn_table = burn_table
         self.recorder = recorder
         self.region = region
-        self.active: dict[int, Activity] = {}
+        self.withdrawals = _withdrawals.Withdrawals(
+            admission, exchange, forwarder, counters
+        )
+        self.active = self.withdrawals.active
         self.moved = False
-        self.checked_index = -1
 
     def application(self) -> web.Application:
         """Return the application of the callers' listener."""
@@ -99,26 +88,44 @@
         now = self.ticks.now()
         if not self.freshness.fresh(now):
             return self.unconfirmed(request_id)
-        credentials = delivery.extract_key(raw_request(request).headers)
-        if isinstance(credentials, result.Err):
-            return _web.error_response(credentials.err_value)
-        digest = credentials.ok_value.digest
-        account = _admission.OPEN_ACCOUNT
-        if digest is not None:
-            named = self.admission.views.key_account(digest, now)
-            if named is None:
-                return _web.error_response(
-                    errors.Failure(
-                        errors.ErrorKind.UNAUTHORIZED,
-                        'the key is not in force',
-                    ),
+        account = self.outcome_account(raw_request(request), now)
+        if isinstance(account, result.Err):
+            return self.plain_response(
+                _exchange.refused(
+                    request_id, account.err_value, self.unsure(request_id)
                 )
-            account = named
+            )
         reply = await self.exchange.resolve(
-            account, request_id, '', OUTCOME_WAIT_S
+            account.ok_value, request_id, '', OUTCOME_WAIT_S
         )
         return self.plain_response(reply)
 
+    def outcome_account(
+        self, raw: _admission.RawRequest, now: float
+    ) -> result.Result[str, errors.Failure]:
+        """Return the account whose outcome is asked for.
+
+        Without a key it is that of open services.  Where there are none, the
+        key was forgotten, and 'not run' would be taken for its account's.
+        """
+        credentials = delivery.extract_key(raw.headers)
+        if isinstance(credentials, result.Err):
+            return credentials
+        views, digest = self.admission.views, credentials.ok_value.digest
+        if digest is not None:
+            account = views.key_account(digest, now)
+            if account is not None:
+                return result.Ok(account)
+        elif views.newest is not None and any(
+            service.open for service in views.newest.config.services.values()
+        ):
+            return result.Ok(_admission.OPEN_ACCOUNT)
+        return result.Err(
+            errors.Failure(
+                errors.ErrorKind.UNAUTHORIZED, 'a key in force is required'
+            )
+        )
+
     def unconfirmed(self, request_id: str) -> web.Response:
         """Answer while this VM cannot confirm its configuration."""
         return self.plain_response(
@@ -162,7 +169,7 @@
             return self.plain_response(
                 _exchange.refused(request_id, failure, self.unsure(request_id))
             )
-        activity = Activity(admitted.ok_value)
+        activity = _withdrawals.Activity(admitted.ok_value)
         self.active[id(activity)] = activity
         try:
             return await self.answer(request, activity, request_id, started)
@@ -172,7 +179,7 @@
     async def answer(
         self,
         request: web.Request,
-        activity: Activity,
+        activity: _withdrawals.Activity,
         request_id: str,
         started: float,
     ) -> web.StreamResponse:
@@ -205,7 +212,10 @@
             self.counters.latency.labels(service.name).observe(seconds)
 
     async def run(
-        self, request: web.Request, activity: Activity, request_id: str
+        self,
+        request: web.Request,
+        activity: _withdrawals.Activity,
+        request_id: str,
     ) -> _exchange.Reply:
         """Return the reply to a request."""
         admitted = activity.admitted
@@ -260,7 +270,7 @@
     async def respond(
         self,
         request: web.Request,
-        activity: Activity,
+        activity: _withdrawals.Activity,
         reply: _exchange.Reply,
     ) -> web.StreamResponse:
         """Pass a reply on to the caller."""
@@ -323,46 +333,7 @@
 
     def tick(self, now: float) -> None:
         """End running answers whose key was withdrawn some seconds ago."""
-        views = self.admission.views
-        if views.index() != self.checked_index:
-            self.checked_index = views.index()
-            newest = views.newest
-            if newest is not None:
-                retries = self.exchange.tries.retries
-                retries.keep(newest.config.services.keys())
-            self.refuse_waiting(now)
-            for activity in self.active.values():
-                if activity.withdrawn_at is None and not (
-                    self.admission.still_allowed(activity.admitted, now)
-                ):
-                    activity.withdrawn_at = now
-        for activity in list(self.active.values()):
-            since = activity.withdrawn_at
-            if since is not None and now - since >= WITHDRAWN_GRACE_S:
-                self.cut(activity)
-
-    def refuse_waiting(self, now: float) -> None:
-        """Refuse requests that wait for a slot with a withdrawn key."""
-        views = self.admission.views
-        self.exchange.tries.dispatcher.fail_where(
-            lambda request: (
-                request.key_digest is not None
-                and request.client_account
-                != views.key_account(request.key_digest, now)
-                and request.client_account != _admission.OPEN_ACCOUNT
-            ),
-            errors.Failure(
-                errors.ErrorKind.UNAUTHORIZED, 'the key was withdrawn'
-            ),
-        )
-
-    def cut(self, activity: Activity) -> None:
-        """End one answer whose key was withdrawn."""
-        self.counters.events.labels('withdrawn_answer_cut').inc()
-        if activity.stream_task is not None:
-            activity.stream_task.cancel()
-        else:
-            self.forwarder.cancel(activity.request_id)
+        self.withdrawals.tick(now)
 
 
 def raw_request(request: web.Request) -> _admission.RawRequest:
--- a/filbertstep/_web.py
+++ b/filbertstep/_web.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import hmac
+import logging
 import ssl
 import traceback
 import typing
@@ -17,6 +18,12 @@
 
 LOG = logbook.Logger('web')
 
+# The HTTP library logs malformed heads in full, keys included.  Faults of the
+# program are logged by ``closed_errors``.
+SILENT: typing.Final = logging.getLogger('filbertstep.http')
+SILENT.propagate = False
+SILENT.addHandler(logging.NullHandler())
+
 WebHandler = collections.abc.Callable[
     [web.Request], collections.abc.Awaitable[web.StreamResponse]
 ]
@@ -137,6 +144,7 @@
         app,
         **(limits or {}),
         access_log=None,
+        logger=SILENT,
         handler_cancellation=True,
         shutdown_timeout=stop_timeout_s,
     )
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,247 @@
+"""Tests of what the listeners share, of the peers' listener and its calls."""
+
+import asyncio
+import typing
+import unittest
+
+import aiohttp
+from aiohttp import test_utils
+from aiohttp import web
+import result
+
+from filbertstep import _http_peers
+from filbertstep import _peer_server
+from filbertstep import _web
+from filbertstep import errors
+from filbertstep import metrics
+from filbertstep import transport
+
+K = errors.ErrorKind
+TOKEN = 'token-of-the-peers'
+
+
+class TestErrorResponse(unittest.TestCase):
+    """The answer for a failure."""
+
+    def test_every_kind(self) -> None:
+        """Guards against an answer that differs from the closed list."""
+        for kind, row in errors.ANSWERS.items():
+            with self.subTest(kind):
+                answer = _web.error_response(errors.Failure(kind, 'why'))
+                self.assertEqual(row.status, answer.status)
+                self.assertEqual(kind.value, answer.headers['X-Error-Kind'])
+                self.assertEqual(row.ran.value, answer.headers['X-Ran'])
+                self.assertNotIn('Retry-After', answer.headers)
+        self.assertEqual(set(K), set(errors.ANSWERS))
+
+    def test_retry_after_is_rounded_up(self) -> None:
+        """Guards against a caller that comes back too early."""
+        for seconds, text in {
+            0.05: '1', 1.0: '1', 1.01: '2', 7.5: '8', 600.0: '600',
+        }.items():  # fmt: skip
+            failure = errors.Failure(K.OVER_RATE, 'why', seconds)
+            answer = _web.error_response(failure)
+            self.assertEqual(text, answer.headers['Retry-After'])
+
+    def test_ran_can_be_overridden(self) -> None:
+        """Guards against a body that says other than the header."""
+        answer = _web.error_response(
+            errors.Failure(K.OVER_RATE, 'why'), None, errors.Ran.UNKNOWN
+        )
+        self.assertEqual('unknown', answer.headers['X-Ran'])
+        assert isinstance(answer.body, bytes)
+        self.assertIn(b'"ran":"unknown"', answer.body)
+
+
+class WebCase(unittest.IsolatedAsyncioTestCase):
+    """An application on loopback."""
+
+    async def serve(
+        self, app: web.Application
+    ) -> test_utils.TestClient[web.Request, web.Application]:
+        """Serve an application until the test ends."""
+        client = test_utils.TestClient(test_utils.TestServer(app))
+        await client.start_server()
+        self.addAsyncCleanup(client.close)
+        return client
+
+
+class TestMiddlewares(WebCase):
+    """Tokens, and exceptions of handlers."""
+
+    async def test_tokens(self) -> None:
+        """Guards against a listener that is open to all."""
+        app = web.Application(
+            middlewares=[_web.closed_errors, _web.require_bearer(['a' * 16])]
+        )
+
+        async def handle(request: web.Request) -> web.Response:
+            return _web.json_response({})
+
+        app.router.add_get('/', handle)
+        client = await self.serve(app)
+        for given, status in {
+            None: 401,
+            '': 401,
+            'Bearer': 401,
+            'Bearer ' + 'a' * 15: 401,
+            'Bearer ' + 'a' * 17: 401,
+            'Basic ' + 'a' * 16: 401,
+            'Bearer \u00e9' + 'a' * 16: 401,
+            'Bearer ' + 'a' * 16: 200,
+        }.items():
+            with self.subTest(given):
+                headers = {} if given is None else {'Authorization': given}
+                answer = await client.get('/', headers=headers)
+                self.assertEqual(status, answer.status)
+
+    async def test_exceptions(self) -> None:
+        """Guards against an answer that shows the text of an exception."""
+        app = web.Application(
+            middlewares=[_web.closed_errors], client_max_size=10
+        )
+
+        async def fail(request: web.Request) -> web.Response:
+            raise ValueError('secret')
+
+        async def read(request: web.Request) -> web.Response:
+            await request.read()
+            return _web.json_response({})
+
+        app.router.add_get('/fail', fail)
+        app.router.add_post('/read', read)
+        client = await self.serve(app)
+        cases: list[tuple[str, str, bytes | None, K]] = [
+            ('GET', '/fail', None, K.INTERNAL),
+            ('GET', '/nowhere', None, K.NOT_FOUND),
+            ('DELETE', '/fail', None, K.BAD_REQUEST),
+            ('POST', '/read', b'x' * 11, K.BODY_TOO_LARGE),
+        ]
+        for method, path, body, kind in cases:
+            with self.subTest(path=path, method=method):
+                answer = await client.request(method, path, data=body)
+                self.assertEqual(errors.ANSWERS[kind].status, answer.status)
+                self.assertEqual(kind.value, answer.headers['X-Error-Kind'])
+                self.assertNotIn('secret', await answer.text())
+
+
+class PeerCase(WebCase):
+    """A peers' listener and a client that calls it."""
+
+    async def asyncSetUp(self) -> None:
+        """Serve the handlers of this test."""
+        self.answer: result.Result[transport.Message, errors.Failure]
+        self.answer = result.Ok({'a': 1})
+        self.calls: list[transport.Message] = []
+        self.delay_s = 0.0
+        server = _peer_server.PeerServer(
+            {'/peer/echo': self.handle, '/peer/fail': self.fail_hard}
+        )
+        self.http = await self.serve(server.application(TOKEN))
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        self.url: str | None = str(self.http.make_url('')).rstrip('/')
+        self.counters = metrics.Metrics()
+
+    async def handle(
+        self, message: transport.Message
+    ) -> result.Result[transport.Message, errors.Failure]:
+        """Return the fixed answer."""
+        self.calls.append(message)
+        await asyncio.sleep(self.delay_s)
+        return self.answer
+
+    async def fail_hard(
+        self, message: transport.Message
+    ) -> result.Result[transport.Message, errors.Failure]:
+        """Fail by an exception."""
+        raise ValueError
+
+    async def call(
+        self, path: str = '/peer/echo', token: str = TOKEN
+    ) -> result.Result[transport.Message, errors.Failure]:
+        """Call the listener as a peer does."""
+        peers = _http_peers.HttpPeers(
+            self.session, token, lambda vm: self.url, None, self.counters
+        )
+        return await peers.call('vm-2', path, {'x': [1]}, 0.3)
+
+    async def kind(self, path: str = '/peer/echo', token: str = TOKEN) -> K:
+        """Return the kind of the failure of a call."""
+        return (await self.call(path, token)).unwrap_err().kind
+
+
+class TestPeers(PeerCase):
+    """Messages and failures both ways."""
+
+    async def test_message(self) -> None:
+        """Guards against a message that changes on its way."""
+        self.assertEqual({'a': 1}, (await self.call()).unwrap())
+        self.assertEqual([{'x': [1]}], self.calls)
+
+    async def test_every_failure_arrives_as_it_was(self) -> None:
+        """Guards against a peer's refusal that is taken for another one."""
+        for kind in K:
+            for seconds in (None, 1.5):
+                with self.subTest(kind=kind, seconds=seconds):
+                    failure = errors.Failure(kind, 'why', seconds)
+                    self.answer = result.Err(failure)
+                    found = (await self.call()).unwrap_err()
+                    self.assertEqual(failure, found)
+
+    async def test_calls_without_a_readable_answer(self) -> None:
+        """Guards against 'not run' for a call that may have had effect."""
+        self.assertEqual(K.OUTCOME_UNKNOWN, await self.kind('/peer/fail'))
+        self.delay_s = 5.0
+        self.assertEqual(K.OUTCOME_UNKNOWN, await self.kind())
+
+    async def test_calls_that_were_not_sent(self) -> None:
+        """Guards against 'unknown' for a call that nobody can have seen."""
+        await self.http.server.close()
+        self.assertEqual(K.NOT_RUN, await self.kind())
+        self.url = None
+        self.assertEqual(K.NOT_RUN, await self.kind())
+
+    async def test_unknown_message(self) -> None:
+        """Guards against an old VM that seems to have understood."""
+        self.assertEqual(K.NOT_FOUND, await self.kind('/peer/other'))
+
+    async def test_wrong_token(self) -> None:
+        """Guards against a peer without the token."""
+        found = await self.call(token='another')
+        self.assertTrue(found.is_err())
+        self.assertEqual([], self.calls)
+
+    async def test_bodies_that_are_no_messages(self) -> None:
+        """Guards against a handler that gets something else."""
+        headers = {'Authorization': f'Bearer {TOKEN}'}
+        for body in (b'', b'[]', b'1', b'{', b'\xff'):
+            answer = await self.http.post(
+                '/peer/echo', data=body, headers=headers
+            )
+            self.assertEqual(400, answer.status)
+            found = _http_peers.read_answer(400, await answer.read())
+            self.assertEqual(K.BAD_REQUEST, found.unwrap_err().kind)
+        self.assertEqual([], self.calls)
+
+
+class TestReadAnswer(unittest.TestCase):
+    """Answers that no peer of this version gives."""
+
+    CASES: typing.Final[dict[tuple[int, bytes], K]] = {
+        (200, b''): K.OUTCOME_UNKNOWN,
+        (200, b'[]'): K.OUTCOME_UNKNOWN,
+        (502, b'<html>'): K.OUTCOME_UNKNOWN,
+        (500, b'{"kind":"not_run"}'): K.OUTCOME_UNKNOWN,
+        (
+            500,
+            b'{"kind":"new","message":"","ran":"no","retry_after_s":null}',
+        ): K.INTERNAL,
+    }
+
+    def test_unreadable(self) -> None:
+        """Guards against a broken answer that is taken for a refusal."""
+        for (status, body), kind in self.CASES.items():
+            with self.subTest(body):
+                found = _http_peers.read_answer(status, body)
+                self.assertEqual(kind, found.unwrap_err().kind)
