--- a/filbertstep/_exchange.py
+++ b/filbertstep/_exchange.py
@@ -26,6 +26,12 @@
 from filbertstep import routing
 from filbertstep import systems
 
+# Kinds of refusals that hold for an id whatever its other copies do: the id
+# is fenced, or the refused body is not that of the other copies.
+FINAL_KINDS: typing.Final = frozenset(
+    {errors.ErrorKind.NOT_RUN, errors.ErrorKind.ID_REUSED}
+)
+
 
 class Reply(typing.NamedTuple):
     """What the caller gets.
@@ -78,82 +84,60 @@
         self.quarantine = quarantine
         self.ticks = ticks
         self.background: set[asyncio.Task[Reply]] = set()
-        # Copies of requests that run at most once which this VM works on, by
-        # client account and request id.
+        # Copies of tracked requests in progress, by account and request id.
         self.copies: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
 
+    def new_id(self, tracked: bool) -> str:
+        """Return an id for a request whose caller gave none."""
+        return self.own_id() if tracked else f'r-{uuid.uuid4().hex}'
+
     async def run(
-        self, admitted: _admission.Admitted, body: bytes, given_id: str | None
+        self, admitted: _admission.Admitted, body: bytes, request_id: str
     ) -> Reply:
-        """Run a request and return its reply; ``given_id`` is the caller's."""
+        """Run a request and return its reply."""
         if not admitted.tracked:
-            request_id = given_id or f'r-{uuid.uuid4().hex}'
             return await self.run_idempotent(admitted, body, request_id)
-        if given_id is None:
-            given_id = self.own_id()
-        parsed = delivery.parse_request_id(given_id)
+        parsed = delivery.parse_request_id(request_id)
         if isinstance(parsed, result.Err):
             return refused('', parsed.err_value)
         job = _tries.Job(
             admitted,
             body,
-            given_id,
+            request_id,
             _admission.request_digest(admitted.raw, body),
             self.token(admitted),
         )
         # A request that runs at most once is finished although its caller
         # left, so that the caller can ask for the outcome.
         task = asyncio.get_running_loop().create_task(
-            self.run_tracked(job, parsed.ok_value.grant)
+            self.run_copy(job, parsed.ok_value.grant)
         )
         self.background.add(task)
         task.add_done_callback(self.background.discard)
-        return await asyncio.shield(task)
-
-    def own_id(self) -> str:
-        """Return a request id of this process as owner.
-
-        It is its own backup: a caller without an id cannot resend it anyway.
-        """
-        minute = delivery.minute_of(self.ticks.now())
-        intents = self.intents
-        grant = delivery.Grant(
-            intents.vm, intents.incarnation, intents.vm, intents.incarnation,
-            minute,
-        )  # fmt: skip
-        return delivery.format_request_id(
-            delivery.RequestId(grant, uuid.uuid4().hex)
-        )
-
-    async def run_idempotent(
-        self, admitted: _admission.Admitted, body: bytes, request_id: str
-    ) -> Reply:
-        """Run a request that may run more than once."""
-        token = self.token(admitted)
-        failure = await self.check(admitted, body, token)
-        if failure is not None:
-            return refused(request_id, failure)
-        job = _tries.Job(admitted, body, request_id, '', token)
-        return to_reply(request_id, await self.tries.run(job))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(discard_reply)
+            raise
 
-    async def run_tracked(
-        self, job: _tries.Job, grant: delivery.Grant
-    ) -> Reply:
-        """Run a request at most once, or tell what became of it.
+    async def run_copy(self, job: _tries.Job, grant: delivery.Grant) -> Reply:
+        """Run one copy of a tracked request.
 
-        A refusal of one copy says 'not run' only when no other copy can run:
-        the others may still wait for a slot, before an intent is recorded.
+        A refusal of one copy says 'not run' only when no other copy can run
+        or ran: the others may still wait for a slot, before an intent is
+        recorded.
         """
         key = (job.admitted.account, job.request_id)
         self.copies[key] += 1
         try:
-            reply = await self.run_copy(job, grant)
-            kind = None if reply.failure is None else reply.failure.kind
+            reply = await self.run_tracked(job, grant)
+            failure = reply.failure
             if (
-                reply.ran is errors.Ran.NO
-                and kind is not errors.ErrorKind.NOT_RUN
+                failure is not None
+                and reply.ran is errors.Ran.NO
+                and failure.kind not in FINAL_KINDS
                 and self.others_may_run(key)
             ):
                 reply = reply._replace(ran=errors.Ran.UNKNOWN)
@@ -180,14 +164,40 @@
 
     def has_copy(self, request_id: str) -> bool:
         """Tell whether this VM has had or has an id, of any account."""
-        return any(
-            name == request_id
-            for keys in (self.intents.owned.rows, self.copies)
-            for _, name in keys
+        return request_id in self.intents.owned.ids or any(
+            name == request_id for _, name in self.copies
         )
 
-    async def run_copy(self, job: _tries.Job, grant: delivery.Grant) -> Reply:
-        """Run one copy of a request, or resolve its id."""
+    def own_id(self) -> str:
+        """Return a request id of this process as owner.
+
+        It is its own backup: a caller without an id cannot resend it anyway.
+        """
+        minute = delivery.minute_of(self.ticks.now())
+        intents = self.intents
+        grant = delivery.Grant(
+            intents.vm, intents.incarnation, intents.vm, intents.incarnation,
+            minute,
+        )  # fmt: skip
+        return delivery.format_request_id(
+            delivery.RequestId(grant, uuid.uuid4().hex)
+        )
+
+    async def run_idempotent(
+        self, admitted: _admission.Admitted, body: bytes, request_id: str
+    ) -> Reply:
+        """Run a request that may run more than once."""
+        token = self.token(admitted)
+        failure = await self.check(admitted, body, token)
+        if failure is not None:
+            return refused(request_id, failure)
+        job = _tries.Job(admitted, body, request_id, '', token)
+        return to_reply(request_id, await self.tries.run(job))
+
+    async def run_tracked(
+        self, job: _tries.Job, grant: delivery.Grant
+    ) -> Reply:
+        """Run a request at most once, or tell what became of it."""
         admitted = job.admitted
         first = self.first_copy(admitted.account, job.request_id, grant)
         failure = await self.check(admitted, job.body, job.token)
@@ -275,6 +285,18 @@
         return None
 
 
+def discard_reply(task: asyncio.Task[Reply]) -> None:
+    """End the answer of a request whose caller has left.
+
+    Its slot would otherwise stay in use for good when the answer streams.
+    """
+    if task.cancelled() or task.exception() is not None:
+        return
+    reply = task.result()
+    if reply.ended is not None:
+        reply.ended(0, False)
+
+
 def target(raw: _admission.RawRequest) -> str:
     """Return the path with its query."""
     return f'{raw.path}?{raw.query}' if raw.query else raw.path
