--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,6 @@
 	$(BIN)/pip-compile -q --extra dev --strip-extras --no-emit-index-url \
 	    --no-emit-trusted-host --no-emit-find-links \
 	    -o requirements.lock pyproject.toml
+
+capacity: $(STAMP)
+	$(BIN)/python -m filbertstep.capacity
