--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,9 @@
 demo: $(STAMP)
 	$(BIN)/filbertstep-demo
 
+bench: $(STAMP)
+	$(BIN)/python -m filbertstep.bench --seed=$(SEED)
+
 test: $(STAMP)
 	$(BIN)/python -m tests.run
 
--- a/filbertstep/_choice.py
+++ b/filbertstep/_choice.py
@@ -138,6 +138,16 @@
         return rng.choice([item for item in best if item.same_zone] or best)
 
 
+POLICIES: typing.Final[dict[str, type[ChoicePolicy]]] = {
+    'slot_aware': SlotAwareChoice,
+    'random': RandomChoice,
+    'round_robin': RoundRobinChoice,
+    'least_reported': LeastReportedLoad,
+    'two_choices': TwoChoicesReported,
+}
+"""Policies by their names in the settings of a node."""
+
+
 def typical_latency(candidates: Candidates) -> float:
     """Return the median of the known latencies in seconds."""
     known = [
--- a/filbertstep/_deployment.py
+++ b/filbertstep/_deployment.py
@@ -99,6 +99,7 @@
             'store_url': self.store_url(vm),
             'vm_list_url': self.control_urls['vms'],
             'history_file': self.history_path(vm),
+            'choice_policy': self.options.choice_policy,
         }
         for listener, url in address._asdict().items():
             fields[f'{listener}_port'] = url.rpartition(':')[2]
--- a/filbertstep/_node.py
+++ b/filbertstep/_node.py
@@ -138,7 +138,11 @@
             rng,
         )
         self.shares = sharing.ShareSystem(*neighbours)
-        self.slots = sharing.SlotSystem(*neighbours)
+        self.slots: sharing.SlotSystem | sharing.OpenSlots
+        if self.options.choice_policy == settings.DEFAULT_POLICY:
+            self.slots = sharing.SlotSystem(*neighbours)
+        else:
+            self.slots = sharing.OpenSlots(self.views)
 
     def build_routing(self, rng: random.Random) -> None:
         """Build what decides where a request goes."""
@@ -165,6 +169,7 @@
             options.region,
             options.availability_zone,
             rng,
+            routing.POLICIES[options.choice_policy](),
         )
 
     def build_delivery(self) -> None:
--- /dev/null
+++ b/filbertstep/_open_slots.py
@@ -0,0 +1,87 @@
+"""Slots that are never full: the baseline that measurements compare with.
+
+Nothing is owned, lent or queued here, so that the backend servers' own queues
+and shedding are all that bounds their load.  A node uses this only when its
+settings name a choice policy other than the default.
+"""
+
+import collections
+import typing
+
+from filbertstep import config
+from filbertstep import systems
+
+
+class OpenSlots(systems.System, systems.HeartbeatPart, systems.Slots):
+    """Every backend server always has one more idle slot."""
+
+    part_name = 'slots'
+
+    def __init__(self, views: config.ViewTable) -> None:
+        self.views = views
+        self.used: collections.Counter[str] = collections.Counter()
+
+    def tick(self, now: float) -> None:
+        """Do nothing: no hold outlives its request here."""
+
+    def payload(self, now: float) -> dict[str, typing.Any]:
+        """Return nothing to tell."""
+        return {}
+
+    def receive(
+        self,
+        vm: str,
+        incarnation: str,
+        payload: dict[str, typing.Any],
+        now: float,
+    ) -> None:
+        """Ignore the peers: each VM decides on its own."""
+
+    def servers(self, service: str) -> list[config.BackendServer]:
+        """Return the servers of a service in the newest view."""
+        view = self.views.newest
+        rows = {} if view is None else view.config.backend_servers
+        return [row for row in rows.values() if row.service == service]
+
+    def idle(self, service: str, region: str, now: float) -> dict[str, int]:
+        """Return one slot for each server, whatever runs there."""
+        return {
+            row.name: 1
+            for row in self.servers(service)
+            if row.region == region
+        }
+
+    def in_use(self, server: str) -> int:
+        """Return how many requests this VM has at a backend server."""
+        return self.used[server]
+
+    def acquire(
+        self, server: str, run_for_s: float, now: float
+    ) -> systems.SlotHold | None:
+        """Count one more request; slot 0 passes any slow start."""
+        view = self.views.newest
+        row = None if view is None else view.config.backend_servers.get(server)
+        if row is None:
+            return None
+        self.used[server] += 1
+        return systems.SlotHold(
+            server, 0, row.service, row.region, None, now + run_for_s
+        )
+
+    def release(self, hold: systems.SlotHold, now: float) -> None:
+        """Count one request less."""
+        self.used[hold.server] -= 1
+
+    def release_at_deadline(self, hold: systems.SlotHold) -> None:
+        """Count one request less: no slot has to be kept for it."""
+        self.used[hold.server] -= 1
+
+    def want(self, service: str, region: str, count: int, now: float) -> None:
+        """Ignore the wish: there is nothing to borrow."""
+
+    def room(self, service: str, now: float) -> dict[str, float]:
+        """Return full room in every region that has servers."""
+        return {row.region: 1.0 for row in self.servers(service)}
+
+    async def hand_over(self) -> None:
+        """Do nothing: there is nothing to hand over."""
--- a/filbertstep/_settings.py
+++ b/filbertstep/_settings.py
@@ -17,6 +17,12 @@
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Token = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
+# All but the default are baselines of measurements: they do without slots.
+Policy = typing.Literal[
+    'slot_aware', 'random', 'round_robin', 'least_reported', 'two_choices'
+]
+DEFAULT_POLICY: typing.Final = 'slot_aware'
+
 
 class TlsDoc(typing.TypedDict):
     """Certificate chain and private key of a listener, PEM files."""
@@ -55,6 +61,7 @@
     stop_timeout_s: typing.NotRequired[
         typing.Annotated[float, msgspec.Meta(gt=0, le=600)]
     ]
+    choice_policy: typing.NotRequired[Policy]
 
 
 class Listener(typing.NamedTuple):
@@ -71,7 +78,8 @@
     """Checked settings of a node.
 
     ``ca_file`` verifies peers' certificates.  ``stop_timeout_s`` bounds a
-    graceful shutdown in seconds.
+    graceful shutdown in seconds.  ``choice_policy`` other than the default is
+    for measurements only.
     """
 
     vm: str
@@ -88,6 +96,7 @@
     history_file: str | None
     ca_file: str | None
     stop_timeout_s: float
+    choice_policy: str
 
 
 def listener_row(doc: ListenerDoc) -> Listener:
@@ -129,6 +138,7 @@
             history_file=doc.get('history_file'),
             ca_file=doc.get('ca_file'),
             stop_timeout_s=doc.get('stop_timeout_s', 60.0),
+            choice_policy=doc.get('choice_policy', DEFAULT_POLICY),
         )
     )
 
--- a/filbertstep/_standin_set.py
+++ b/filbertstep/_standin_set.py
@@ -24,7 +24,7 @@
     crash is that of a process; else one process serves a region's servers.
     With ``relays`` nodes reach the store and each other through the link
     stand-in, with the delays of the plan.  ``node_module`` is run with
-    ``--settings=PATH``.
+    ``--settings=PATH``.  ``choice_policy`` is that of all nodes.
     """
 
     directory: str
@@ -37,6 +37,7 @@
     crash_text: str = ''
     ready_timeout_s: float = 30.0
     node_module: str = 'filbertstep.node'
+    choice_policy: str = 'slot_aware'
 
 
 class NodeAddress(typing.NamedTuple):
--- a/filbertstep/_summary.py
+++ b/filbertstep/_summary.py
@@ -70,7 +70,9 @@
     """One request with all its tries.
 
     ``answer`` is the last one; ``inside_rate`` tells whether its first try
-    was within its account's rate and burst; ``runs`` counts its runs.
+    was within its account's rate and burst; ``runs`` counts its runs;
+    ``refused`` tells whether any try was refused for want of capacity, even
+    if a later one was served.
     """
 
     service: str
@@ -81,6 +83,7 @@
     inside_rate: bool
     runs: int
     cut: bool
+    refused: bool
 
     def outcome(self) -> str:
         """Return ``ok``, an error kind or ``no_answer``."""
@@ -126,6 +129,7 @@
                 and bucket.conforms(first['t'], 1.0),
                 runs=sum(len(begins.get(one, [])) for one in ids),
                 cut=any(is_cut(one) for one in own),
+                refused=any(one['kind'] in WRONGFUL_KINDS for one in own),
             )
         )
     return found
--- a/filbertstep/checking.py
+++ b/filbertstep/checking.py
@@ -20,6 +20,10 @@
 from filbertstep._history import read_lines as read_lines
 from filbertstep._history import Writer as Writer
 from filbertstep._summary import Figures as Figures
+from filbertstep._summary import Order as Order
+from filbertstep._summary import orders as orders
+from filbertstep._summary import percentile as percentile
 from filbertstep._summary import Summary as Summary
 from filbertstep._summary import summary as summary
+from filbertstep._summary import WRONGFUL_KINDS as WRONGFUL_KINDS
 from filbertstep._violations import Violation as Violation
--- a/filbertstep/routing.py
+++ b/filbertstep/routing.py
@@ -12,6 +12,7 @@
 from filbertstep._choice import Candidate as Candidate
 from filbertstep._choice import ChoicePolicy as ChoicePolicy
 from filbertstep._choice import LeastReportedLoad as LeastReportedLoad
+from filbertstep._choice import POLICIES as POLICIES
 from filbertstep._choice import RandomChoice as RandomChoice
 from filbertstep._choice import RoundRobinChoice as RoundRobinChoice
 from filbertstep._choice import SlotAwareChoice as SlotAwareChoice
--- a/filbertstep/settings.py
+++ b/filbertstep/settings.py
@@ -1,5 +1,6 @@
 """Settings of a node, read from JSON with comments."""
 
+from filbertstep._settings import DEFAULT_POLICY as DEFAULT_POLICY
 from filbertstep._settings import Listener as Listener
 from filbertstep._settings import ListenerDoc as ListenerDoc
 from filbertstep._settings import load as load
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -57,3 +57,13 @@
                 parsed = settings.parse(GOOD.replace(case.old, case.new, 1))
                 self.assertIsInstance(parsed, result.Err)
                 self.assertIn(case.named, str(parsed.err()))
+
+    def test_choice_policy(self) -> None:
+        """Guards against a node that becomes a baseline by mistake."""
+        self.assertEqual(
+            'slot_aware', settings.parse(GOOD).unwrap().choice_policy
+        )
+        for name, good in (('random', True), ('randon', False)):
+            text = GOOD.replace('}\n', f'"choice_policy": "{name}"}}\n', 9)
+            with self.subTest(name):
+                self.assertEqual(good, settings.parse(text).is_ok())
