--- a/filbertstep/_capacity_sharing.py
+++ b/filbertstep/_capacity_sharing.py
@@ -9,12 +9,21 @@
 from filbertstep import _capacity_fit
 from filbertstep import _capacity_world
 from filbertstep import config
+from filbertstep import node
+from filbertstep import sharing
 from filbertstep import systems
 
 Size = _capacity_world.Size
 Values = _capacity_fit.Values
 
 
+def own_slots(one: node.Node) -> typing.Any:
+    """Return a node's table of slots, which is private to the slot system."""
+    if not isinstance(one.slots, sharing.SlotSystem):
+        raise TypeError('a baseline node has no table of slots')
+    return one.slots.table
+
+
 async def new_epoch(size: Size) -> Values:
     """Measure what a change of the epoch costs shares and slots."""
     async with _capacity_world.node_of(size) as one:
@@ -70,7 +79,7 @@
 
         one.shares.table.buckets.clear()
         _, shares_mib, _ = _capacity_blocks.memory(fill_shares)
-        table = one.slots.table
+        table = own_slots(one)
         table.owned, table.shares, table.places = {}, {}, {}
         _, slots_mib, _ = _capacity_blocks.memory(fill_slots)
 
@@ -112,7 +121,7 @@
                 raise AssertionError('no token')
 
         server = next(
-            name for name, own in one.slots.table.owned.items() if own
+            name for name, own in own_slots(one).owned.items() if own
         )
 
         def slot() -> None:
@@ -121,7 +130,7 @@
                 raise AssertionError('no slot')
             one.slots.release(hold, now)
 
-        place = one.slots.table.service(server)
+        place = own_slots(one).service(server)
         if place is None:
             raise AssertionError('no such server')
         return {
--- a/filbertstep/_capacity_world.py
+++ b/filbertstep/_capacity_world.py
@@ -274,6 +274,7 @@
         history_file=None,
         ca_file=None,
         stop_timeout_s=1.0,
+        choice_policy='slot_aware',
     )
 
 
