--- a/tests/proof_scenarios.py
+++ b/tests/proof_scenarios.py
@@ -474,7 +474,11 @@
     vm = run.random.choice(run.vms)
     rest = [name for name in run.vms if name != vm]
     await run.store(delay_s=0.5)
-    await run.sleep(1)
+    # Long runs, so that several are under way when the VM stops.
+    for name, server in run.deployed.servers.items():
+        if server.service == 'calibration':
+            await run.deployed.control_server(name, mean_ms=800.0)
+    await run.sleep(2.5)
     await asyncio.gather(run.stop(vm), drain_both(run, rest[0]))
     await run.store(delay_s=0.0)
 
@@ -568,8 +572,8 @@
     'withdrawal': Scenario(withdraw_from_waiting, 16.0, mix=STREAMS),
     'crossed': Scenario(crossed_and_cut, 12.0),
     'answers': Scenario(answers, 16.0, mix=STREAMS),
-    'stops': Scenario(planned_stops, 16.0, mix=STREAMS),
-    'stops_and_answers': Scenario(stops_and_answers, 16.0, mix=STREAMS),
+    'stops': Scenario(planned_stops, 18.0, mix=STREAMS),
+    'stops_and_answers': Scenario(stops_and_answers, 18.0, mix=STREAMS),
     'server_drains': Scenario(server_drains, 14.0),
     'servers_gone': Scenario(servers_gone, 24.0),
     'region_gone': Scenario(region_gone, 18.0),
