--- a/filbertstep/_tries.py
+++ b/filbertstep/_tries.py
@@ -124,6 +124,7 @@
     def __init__(self, job: Job) -> None:
         self.job = job
         self.begun = False
+        self.settled = False
         self.tried: set[str] = set()
         self.repeated = False
         self.sending = False
@@ -166,10 +167,24 @@
                 ended = await self.try_once(progress)
                 if ended is not None:
                     return ended
+        except BaseException:
+            await self.abandon(progress)
+            raise
         finally:
             if job.token is not None:
                 job.token.give_back()
 
+    async def abandon(self, progress: Progress) -> None:
+        """Settle the intent of a request that ended by an exception.
+
+        Otherwise its copies would wait for it, and its row would never be
+        forgotten.
+        """
+        job = progress.job
+        if progress.begun and not progress.settled:
+            progress.settled = True
+            await self.intents.abandon(job.admitted.account, job.request_id)
+
     async def try_once(self, progress: Progress) -> Ended | None:
         """Do one try; None when another one may follow."""
         job = progress.job
@@ -414,6 +429,7 @@
                 progress, errors.ErrorKind.BACKEND_FAILED
             )
         if progress.begun:
+            progress.settled = True
             await self.intents.withdraw(job.admitted.account, job.request_id)
         return Ended(failure=failure)
 
@@ -421,9 +437,8 @@
         self, progress: Progress, kind: errors.ErrorKind
     ) -> Ended:
         """End a request that may have run."""
-        job = progress.job
         if progress.begun:
-            await self.intents.abandon(job.admitted.account, job.request_id)
+            await self.abandon(progress)
             kind = errors.ErrorKind.OUTCOME_UNKNOWN
         return Ended(
             failure=errors.Failure(kind, 'the backend server gave no answer'),
@@ -441,6 +456,7 @@
         job = progress.job
         headers = delivery.answer_headers(outcome.headers)
         if progress.begun:
+            progress.settled = True
             await self.intents.finish(
                 job.admitted.account,
                 job.request_id,
@@ -452,7 +468,12 @@
                 ),
             )
 
+        stream = outcome.stream
+
         def stream_ended(size: int, complete: bool) -> None:
+            if stream is not None:
+                # A caller that left early has not read it to its end.
+                stream.close()
             now = self.ticks.now()
             observed = (
                 routing.Outcome.ANSWERED if complete
@@ -463,13 +484,12 @@
             )
             self.dispatcher.finish(assignment, seen, now)
 
-        streams = outcome.stream is not None
         return Ended(
             status=outcome.status,
             headers=headers,
             body=outcome.body,
-            stream=outcome.stream,
-            stream_ended=stream_ended if streams else None,
+            stream=stream,
+            stream_ended=None if stream is None else stream_ended,
         )
 
 
