Make all command lines work the same way; TLS for clients; full status

Commands are now deferred until the whole line is understood. Switches now get their value before fire reads them. - 'status' showed names of live VMs only; it now has tables of VMs with their head index, regions, services and backend servers. - Requests that wait for a slot start when a loan arrives, not at the next tick.

--- a/filbertstep/_agreement.py
+++ b/filbertstep/_agreement.py
@@ -331,4 +331,36 @@
             'live': [
                 {'vm': row.vm, 'state': row.state} for row in self.live(now)
             ],
+            'vms': self.vm_status(now),
         }
+
+    def vm_status(self, now: float) -> dict[str, dict[str, typing.Any]]:
+        """Return this VM, those heard of and members not heard, by name."""
+        heard = self.members.table.rows
+        live = {row.vm for row in self.live(now)}
+        found: dict[str, dict[str, typing.Any]] = {
+            name: {
+                'region': member.region,
+                'availability_zone': member.availability_zone,
+                'state': 'not_heard',
+                'head_index': None,
+                'heard_s': None,
+            }
+            for name, member in self.members.epoch().members.items()
+        }
+        for name, row in heard.items():
+            found[name] = {
+                'region': row.region,
+                'availability_zone': row.availability_zone,
+                'state': row.state if name in live else 'not_heard',
+                'head_index': row.head_index,
+                'heard_s': round(now - row.heard_at, 2),
+            }
+        found[self.me.vm] = {
+            'region': self.me.region,
+            'availability_zone': self.me.availability_zone,
+            'state': self.state,
+            'head_index': self.views.index(),
+            'heard_s': 0.0,
+        }
+        return dict(sorted(found.items()))
--- a/filbertstep/_borrower.py
+++ b/filbertstep/_borrower.py
@@ -87,6 +87,8 @@
         self.heard: dict[str, Heard] = {}
         self.lines: dict[tuple[str, Place], Line] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        # Called with the service when loans arrive; requests wait for them.
+        self.on_loans: collections.abc.Callable[[str], None] | None = None
 
     def receive(
         self, vm: str, incarnation: str, payload: dict[str, typing.Any]
@@ -203,6 +205,8 @@
                 vm, loan, request.asked_at, self.clock_now()
             )
         self.note_taken(vm, place, len(taken), request.message['count'])
+        if taken and self.on_loans is not None:
+            self.on_loans(place[0])
 
     def note_taken(
         self, vm: str, place: Place, taken: int, asked: int
--- a/filbertstep/_caller.py
+++ b/filbertstep/_caller.py
@@ -18,6 +18,7 @@
 
 from filbertstep import _caller_connections
 from filbertstep import _caller_state
+from filbertstep import _tls
 from filbertstep import codec
 from filbertstep import errors
 from filbertstep import lookup
@@ -58,7 +59,9 @@
         try_timeout_s: float = TRY_TIMEOUT_S,
         seed: int | None = None,
         local_address: str | None = None,
+        ca_file: str | None = None,
     ) -> None:
+        self.tls = _tls.client_context(ca_file)
         self.local_address = local_address
         self.lookup_urls = [url.rstrip('/') for url in lookup_urls]
         self.key = key
@@ -82,6 +85,7 @@
                 limit=0,
                 keepalive_timeout=_caller_connections.KEEPALIVE_S,
                 local_addr=local,
+                ssl=True if self.tls is None else self.tls,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
--- /dev/null
+++ b/filbertstep/_command_line.py
@@ -0,0 +1,78 @@
+"""What the command lines of all programs share.
+
+``--help``, ``--version`` and ``--check-settings`` work the same way
+everywhere.  A command runs only after the whole command line was understood:
+``fire`` calls a function first and complains about what is left over
+afterwards, when a change ticket would already be submitted.
+"""
+
+import collections.abc
+import functools
+import sys
+import typing
+
+import fire
+
+import filbertstep
+
+EXIT_OK: typing.Final = 0
+EXIT_USAGE: typing.Final = 2
+
+# Flags without a value, with underscores.
+SWITCHES: typing.Final = frozenset({'__check_settings', '__no_wait'})
+
+Parameters = typing.ParamSpec('Parameters')
+
+
+class Deferred:
+    """Work that a command line asks for; returns the exit code."""
+
+    def __init__(self, work: collections.abc.Callable[[], int | None]) -> None:
+        self._work = work
+
+
+def deferred(
+    function: collections.abc.Callable[Parameters, int | None],
+) -> collections.abc.Callable[Parameters, Deferred]:
+    """Have a command return its work instead of doing it."""
+
+    @functools.wraps(function)
+    def wrapper(
+        *args: Parameters.args, **kwargs: Parameters.kwargs
+    ) -> Deferred:
+        return Deferred(functools.partial(function, *args, **kwargs))
+
+    return wrapper
+
+
+def shown(outcome: object) -> object:
+    """Return what ``fire`` prints of a command's outcome."""
+    return None if isinstance(outcome, Deferred) else outcome
+
+
+def with_value(argument: str) -> str:
+    """Give a switch its value; ``fire`` would take the next argument."""
+    if argument.replace('-', '_') in SWITCHES:
+        return f'{argument}=True'
+    return argument
+
+
+def run(name: str, component: object) -> None:
+    """Read the command line, then do what it asks for."""
+    arguments = [with_value(item) for item in sys.argv[1:]]
+    if '--version' in arguments:
+        print(filbertstep.__version__)
+        return
+    outcome = fire.Fire(
+        component, command=arguments, name=name, serialize=shown
+    )
+    if isinstance(outcome, Deferred):
+        code = outcome._work()
+        if code:
+            sys.exit(code)
+
+
+def fail(name: str, message: str) -> int:
+    """Print why a command cannot start; return the exit code."""
+    print(f'{name}: {message}', file=sys.stderr)
+    return EXIT_USAGE
--- /dev/null
+++ b/filbertstep/_ctl_client.py
@@ -0,0 +1,162 @@
+"""Settings and calls of the operators' client."""
+
+import pathlib
+import re
+import typing
+
+import aiohttp
+import msgspec
+import result
+import uvloop
+
+from filbertstep import _tls
+from filbertstep import codec
+from filbertstep import errors
+
+CALL_TIMEOUT_S: typing.Final = 15.0
+
+# What can stand in a header.
+TOKEN: typing.Final = re.compile('[!-~]+')
+
+
+class ExitCode:
+    """Exit codes of the client."""
+
+    OK: typing.Final = 0
+    USAGE: typing.Final = 2
+    REFUSED: typing.Final = 3
+    CONFLICT: typing.Final = 4
+    UNAVAILABLE: typing.Final = 5
+    NOT_IN_TIME: typing.Final = 6
+    UNAUTHORIZED: typing.Final = 7
+    NOT_FOUND: typing.Final = 8
+
+
+EXIT_CODES: typing.Final[dict[errors.ErrorKind, int]] = {
+    errors.ErrorKind.BAD_REQUEST: ExitCode.USAGE,
+    errors.ErrorKind.INVALID_TICKET: ExitCode.REFUSED,
+    errors.ErrorKind.BODY_TOO_LARGE: ExitCode.REFUSED,
+    errors.ErrorKind.TICKET_CONFLICT: ExitCode.CONFLICT,
+    errors.ErrorKind.UNAUTHORIZED: ExitCode.UNAUTHORIZED,
+    errors.ErrorKind.NOT_FOUND: ExitCode.NOT_FOUND,
+}
+
+
+class ClientSettingsDoc(typing.TypedDict):
+    """Settings file of the client: operators' URLs of VMs, and a token."""
+
+    urls: list[str]
+    token: str
+    author: typing.NotRequired[str]
+    ca_file: typing.NotRequired[str]
+
+
+class CtlError(Exception):
+    """Ends the command with a message and an exit code."""
+
+    def __init__(self, code: int, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+Json = dict[str, typing.Any]
+"""A JSON object of the operators' interface; the server checks requests."""
+
+
+def load_settings(path: str) -> ClientSettingsDoc:
+    """Read and check the client's settings file."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        raise CtlError(ExitCode.USAGE, f'cannot read {path}: {error}')
+    decoded = codec.decode_with_comments(text, ClientSettingsDoc)
+    if isinstance(decoded, result.Err):
+        raise CtlError(ExitCode.USAGE, f'{path}: {decoded.err_value}')
+    checked = check_settings(decoded.ok_value)
+    if isinstance(checked, result.Err):
+        raise CtlError(ExitCode.USAGE, f'{path}: {checked.err_value}')
+    return decoded.ok_value
+
+
+def check_settings(doc: ClientSettingsDoc) -> result.Result[None, str]:
+    """Check what the types do not say; the error names the field."""
+    if not doc['urls']:
+        return result.Err('one URL or more expected - at `$.urls`')
+    for url in doc['urls']:
+        if not url.startswith(('http://', 'https://')):
+            return result.Err('http or https URLs expected - at `$.urls`')
+    if not TOKEN.fullmatch(doc['token']):
+        return result.Err('printable characters expected - at `$.token`')
+    return _tls.check_ca(doc.get('ca_file'))
+
+
+class Client:
+    """Calls the operators' interface of the first VM that answers."""
+
+    def __init__(self, settings: ClientSettingsDoc) -> None:
+        self.settings = settings
+
+    def call(self, method: str, path: str, body: object = None) -> Json:
+        """Do one call; raise CtlError for an error answer."""
+        return uvloop.run(self.call_any(method, path, body))
+
+    async def call_any(self, method: str, path: str, body: object) -> Json:
+        """Try the VMs in order until one can be reached."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S, sock_connect=2)
+        context = _tls.client_context(self.settings.get('ca_file'))
+        tried: list[str] = []
+        headers = {'Authorization': f'Bearer {self.settings["token"]}'}
+        async with aiohttp.ClientSession(
+            timeout=timeout,
+            headers=headers,
+            connector=aiohttp.TCPConnector(
+                ssl=True if context is None else context
+            ),
+        ) as session:
+            for url in self.settings['urls']:
+                try:
+                    return await call_one(
+                        session, method, url.rstrip('/') + path, body
+                    )
+                except aiohttp.ClientConnectorError as error:
+                    # Not sent, so another VM may be asked even for a ticket.
+                    tried.append(f'{url}: {error}')
+                except (aiohttp.ClientError, TimeoutError) as error:
+                    tried.append(f'{url}: {type(error).__name__} {error}')
+                    if method != 'GET':
+                        break
+        raise CtlError(
+            ExitCode.UNAVAILABLE, 'no VM answered: ' + '; '.join(tried)
+        )
+
+
+async def call_one(
+    session: aiohttp.ClientSession, method: str, url: str, body: object
+) -> Json:
+    """Do one call at one VM."""
+    data = None if body is None else codec.encode(body)
+    async with session.request(
+        method, url, data=data, allow_redirects=False
+    ) as response:
+        raw = await response.read()
+    try:
+        decoded = msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        decoded = None
+    if not isinstance(decoded, dict):
+        raise CtlError(
+            ExitCode.UNAVAILABLE, f'{url}: unreadable answer {response.status}'
+        )
+    if response.status >= 400:
+        raise answer_error(decoded)
+    return decoded
+
+
+def answer_error(decoded: Json) -> CtlError:
+    """Return the exception for an error answer."""
+    try:
+        kind = errors.ErrorKind(str(decoded.get('kind')))
+    except ValueError:
+        kind = errors.ErrorKind.INTERNAL
+    code = EXIT_CODES.get(kind, ExitCode.UNAVAILABLE)
+    return CtlError(code, f'{kind.value}: {decoded.get("message", "")}')
--- a/filbertstep/_demo.py
+++ b/filbertstep/_demo.py
@@ -9,18 +9,19 @@
 import contextlib
 import json
 import pathlib
-import sys
 import tempfile
 import typing
 
-import fire
 import uvloop
 
+from filbertstep import _command_line
 from filbertstep import checking
 from filbertstep import config
 from filbertstep import deployment
 from filbertstep import traffic
 
+NAME: typing.Final = 'filbertstep-demo'
+
 EXAMPLES: typing.Final = ('huon-burr', 'vleiland')
 
 # Share of its rate that each account offers, and of the one that sends more.
@@ -175,15 +176,28 @@
     return found
 
 
-def command(seed: int = 1, output: str = 'text', only: str = '') -> None:
+@_command_line.deferred
+def command(
+    seed: int = 1,
+    output: str = 'text',
+    only: str = '',
+    check_settings: bool = False,
+) -> int:
     """Run the example deployments; exit with 1 if a promise broke.
 
     Args:
         seed: seed of keys, arrivals and service times.
         output: text, or json for one more line with all figures.
         only: name of the one deployment to run.
+        check_settings: only check the example deployments.
     """
+    if output not in ('text', 'json') or only not in ('', *EXAMPLES):
+        return _command_line.fail(NAME, 'unknown output format or deployment')
     names = (only,) if only else EXAMPLES
+    if check_settings:
+        for name in names:
+            deployment.load(name)
+        return _command_line.EXIT_OK
     found = uvloop.run(run(seed, names))
     if output == 'json':
         print(json.dumps(found))
@@ -193,9 +207,9 @@
         or result['summary']['total']['lost']
         for result in found
     )
-    sys.exit(EXIT_BROKEN if broken else 0)
+    return EXIT_BROKEN if broken else _command_line.EXIT_OK
 
 
 def main() -> None:
     """Run the ``filbertstep-demo`` command."""
-    fire.Fire(command, name='filbertstep-demo')
+    _command_line.run(NAME, command)
--- a/filbertstep/_node.py
+++ b/filbertstep/_node.py
@@ -6,31 +6,29 @@
 """
 
 import asyncio
-import collections.abc
 import contextlib
 import gc
 import random
 import secrets
 import signal
-import ssl
-import sys
 import typing
 
 import aiohttp
 from aiohttp import web
-import fire
 import logbook
 import result
 import uvloop
 
-import filbertstep
 from filbertstep import _admission
 from filbertstep import _callers
+from filbertstep import _command_line
 from filbertstep import _exchange
 from filbertstep import _http_peers
 from filbertstep import _operators
 from filbertstep import _peer_server
 from filbertstep import _recorder
+from filbertstep import _status
+from filbertstep import _tls
 from filbertstep import _tries
 from filbertstep import _web
 from filbertstep import agreement
@@ -57,9 +55,10 @@
 # Time in seconds for messages to peers at the end of a graceful shutdown.
 LEAVE_MESSAGES_S: typing.Final = 2.0
 
+NAME: typing.Final = 'filbertstep-node'
+
 # Exit codes.
 EXIT_OK: typing.Final = 0
-EXIT_SETTINGS: typing.Final = 2
 EXIT_CUT: typing.Final = 3
 
 
@@ -94,14 +93,11 @@
     def build_agreement(self, rng: random.Random) -> None:
         """Build what tells whether this VM may act, and on what."""
         options = self.options
-        tls: ssl.SSLContext | None = None
-        if options.ca_file is not None:
-            tls = ssl.create_default_context(cafile=options.ca_file)
         self.peers = _http_peers.HttpPeers(
             self.session,
             options.peer_token,
             lambda vm: self.agree.address(vm),
-            tls,
+            _tls.client_context(options.ca_file),
             self.counters,
         )
         self.agree = agreement.Agreement(
@@ -166,6 +162,7 @@
             options.availability_zone,
             rng,
         )
+        self.slots.on_loans(self.dispatcher.wake)
 
     def build_delivery(self) -> None:
         """Build what carries a request out."""
@@ -308,30 +305,14 @@
 
     def status(self) -> dict[str, typing.Any]:
         """Return what operators see of this VM and through it."""
-        now = self.ticks.now()
-        newest = self.views.newest
-        # Permissions of a new configuration hold when no former one does.
-        ready = (
-            newest is not None
-            and newest.head['ticket'] > 0
-            and len(self.views.in_force(now)) == 1
-            and self.agree.state == 'serving'
-            and self.agree.fresh(now)
+        shown = _status.Status(
+            self.agree,
+            self.views,
+            self.dispatcher,
+            self.health.table,
+            self.slots,
         )
-        return {
-            **self.agree.status(),
-            'ready': ready,
-            'services': self.dispatcher.status(now),
-            'backend_servers': {
-                name: {
-                    'service': row.server.service,
-                    'region': row.server.region,
-                    'state': row.state.value,
-                    'in_use': self.slots.in_use(name),
-                }
-                for name, row in sorted(self.health.table.rows.items())
-            },
-        }
+        return shown.show(self.ticks.now())
 
     async def start(self) -> None:
         """Bind the listeners and start the loops."""
@@ -416,37 +397,32 @@
     return EXIT_OK if idle else EXIT_CUT
 
 
-def node_command(
-    settings_path: str, check_settings: bool = False
-) -> collections.abc.Callable[[], int]:
-    """Return what to run for checked settings; exits on wrong ones."""
-    loaded = settings.load(settings_path)
-    if isinstance(loaded, result.Err):
-        print(f'filbertstep-node: {loaded.err_value}', file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    options = loaded.ok_value
-    if check_settings:
-        return lambda: EXIT_OK
-    logs.setup(options.log_level)
-    return lambda: uvloop.run(serve(options))
-
-
-def command(settings: str, check_settings: bool = False) -> None:
+@_command_line.deferred
+def command(settings: str, check_settings: bool = False) -> int:
     """Run the node of an entry VM.
 
     Args:
         settings: path of the settings file, JSON with comments.
         check_settings: only check the settings; exit code 2 if wrong.
     """
-    sys.exit(node_command(settings, check_settings)())
+    loaded = read_settings(settings)
+    if isinstance(loaded, result.Err):
+        return _command_line.fail(NAME, loaded.err_value)
+    if check_settings:
+        return _command_line.EXIT_OK
+    logs.setup(loaded.ok_value.log_level)
+    return uvloop.run(serve(loaded.ok_value))
+
+
+def read_settings(path: str) -> result.Result[settings.NodeSettings, str]:
+    """Read and check the settings and the files that they name."""
+    loaded = settings.load(path)
+    if isinstance(loaded, result.Err):
+        return loaded
+    checked = _tls.check(loaded.ok_value)
+    return loaded if isinstance(checked, result.Ok) else checked
 
 
 def main() -> None:
     """Run the ``filbertstep-node`` command."""
-    arguments = ['--' + item[2:].replace('-', '_', 1)
-                 if item == '--check-settings' else item
-                 for item in sys.argv[1:]]  # fmt: skip
-    if '--version' in arguments:
-        print(filbertstep.__version__)
-        return
-    fire.Fire(command, command=arguments, name='filbertstep-node')
+    _command_line.run(NAME, command)
--- a/filbertstep/_slots.py
+++ b/filbertstep/_slots.py
@@ -82,6 +82,12 @@
         self.used: collections.Counter[str] = collections.Counter()
         self.used_at: collections.Counter[Place] = collections.Counter()
 
+    def on_loans(
+        self, callback: collections.abc.Callable[[str], None]
+    ) -> None:
+        """Have a callback called with the service when loans arrive."""
+        self.borrower.on_loans = callback
+
     def handlers(self) -> dict[str, systems.Handler]:
         """Return the peers' paths that this system answers."""
         return {
--- /dev/null
+++ b/filbertstep/_status.py
@@ -0,0 +1,104 @@
+"""What operators see of a VM and through it: VMs, regions, servers."""
+
+import collections
+import typing
+
+from filbertstep import agreement
+from filbertstep import config
+from filbertstep import routing
+from filbertstep import systems
+
+
+class RegionDoc(typing.TypedDict):
+    """A region; ``vms`` and ``backend_servers`` count them by state."""
+
+    drained: bool
+    vms: dict[str, int]
+    backend_servers: dict[str, int]
+
+
+class Status:
+    """Puts the systems' figures together."""
+
+    def __init__(
+        self,
+        agree: agreement.Agreement,
+        views: config.ViewTable,
+        dispatcher: routing.Dispatcher,
+        health: routing.HealthTable,
+        slots: systems.Slots,
+    ) -> None:
+        self.agree = agree
+        self.views = views
+        self.dispatcher = dispatcher
+        self.health = health
+        self.slots = slots
+
+    def ready(self, now: float) -> bool:
+        """Tell whether this VM serves under the newest configuration."""
+        newest = self.views.newest
+        # Permissions of a new configuration hold when no former one does.
+        return (
+            newest is not None
+            and newest.head['ticket'] > 0
+            and len(self.views.in_force(now)) == 1
+            and self.agree.state == 'serving'
+            and self.agree.fresh(now)
+        )
+
+    def show(self, now: float) -> dict[str, typing.Any]:
+        """Return everything as a JSON object."""
+        found = self.agree.status()
+        servers = {
+            name: {
+                'service': row.server.service,
+                'region': row.server.region,
+                'availability_zone': row.server.availability_zone,
+                'state': self.server_state(row, now),
+                'in_use': self.slots.in_use(name),
+                'slots': row.server.slots,
+            }
+            for name, row in sorted(self.health.rows.items())
+        }
+        return {
+            **found,
+            'ready': self.ready(now),
+            'regions': self.regions(found['vms'], servers, now),
+            'services': self.dispatcher.status(now),
+            'backend_servers': servers,
+        }
+
+    def server_state(self, row: routing.HealthRow, now: float) -> str:
+        """Return a server's health, or that the configuration drains it."""
+        target = config.DrainTarget.BACKEND_SERVER
+        if self.views.drained(target, row.server.name, now):
+            return 'drained'
+        return row.state.value
+
+    def regions(
+        self,
+        vms: dict[str, typing.Any],
+        servers: dict[str, typing.Any],
+        now: float,
+    ) -> dict[str, RegionDoc]:
+        """Return the regions of the configuration."""
+        newest = self.views.newest
+        names = [] if newest is None else sorted(newest.config.regions)
+        target = config.DrainTarget.REGION
+        return {
+            name: {
+                'drained': self.views.drained(target, name, now),
+                'vms': states(vms, name),
+                'backend_servers': states(servers, name),
+            }
+            for name in names
+        }
+
+
+def states(rows: dict[str, typing.Any], region: str) -> dict[str, int]:
+    """Return the number of a region's rows by state."""
+    return dict(
+        collections.Counter(
+            row['state'] for row in rows.values() if row['region'] == region
+        )
+    )
--- a/filbertstep/_web.py
+++ b/filbertstep/_web.py
@@ -4,7 +4,6 @@
 import collections.abc
 import hmac
 import logging
-import ssl
 import traceback
 import typing
 
@@ -12,6 +11,7 @@
 from aiohttp import web
 import logbook
 
+from filbertstep import _tls
 from filbertstep import codec
 from filbertstep import errors
 from filbertstep import settings
@@ -124,15 +124,6 @@
         )
 
 
-def server_tls(listener: settings.Listener) -> ssl.SSLContext | None:
-    """Return the TLS context of a listener, or None for plain HTTP."""
-    if listener.certificate is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(listener.certificate, listener.private_key)
-    return context
-
-
 async def listen(
     app: web.Application,
     listener: settings.Listener,
@@ -153,7 +144,7 @@
         runner,
         listener.host,
         listener.port,
-        ssl_context=server_tls(listener),
+        ssl_context=_tls.server_context(listener),
         # A successor process may bind only when this one is gone, because a
         # successor's promise stands for its predecessor's.
         reuse_port=False,
--- a/filbertstep/routing.py
+++ b/filbertstep/routing.py
@@ -19,6 +19,7 @@
 from filbertstep._dispatch import Dispatcher as Dispatcher
 from filbertstep._fleet import Fleet as Fleet
 from filbertstep._health import Event as Event
+from filbertstep._health import HealthRow as HealthRow
 from filbertstep._health import HealthTable as HealthTable
 from filbertstep._health import State as State
 from filbertstep._probes import HealthSystem as HealthSystem
--- a/filbertstep/standins.py
+++ b/filbertstep/standins.py
@@ -8,9 +8,10 @@
 import sys
 import typing
 
-import fire
+import result
 import uvloop
 
+from filbertstep import _command_line
 from filbertstep import _standin_faults
 from filbertstep import _standin_fleet
 from filbertstep import _standin_link
@@ -18,7 +19,10 @@
 from filbertstep import _standin_vms
 from filbertstep import logs
 
+Doc = typing.TypeVar('Doc')
 
+
+@_command_line.deferred
 def store(
     port: int,
     host: str = '127.0.0.1',
@@ -27,7 +31,8 @@
     delay_ms: float = 0.0,
     seed: int = 1,
     history: str = '',
-) -> None:
+    check_settings: bool = False,
+) -> int:
     """Serve the key-value service; rates of 0 mean no limit."""
     faults: _standin_store.StoreFaults = {
         **_standin_store.NO_FAULTS,
@@ -35,16 +40,26 @@
         'reads_per_s': float(reads_per_s),
         'delay_s': delay_ms / 1000,
     }
-    start(_standin_store.run(host, port, faults, seed, history))
+    return start(
+        _standin_store.run(host, port, faults, seed, history), check_settings
+    )
 
 
+@_command_line.deferred
 def vms(
-    port: int, host: str = '127.0.0.1', lag_s: float = 0.0, history: str = ''
-) -> None:
+    port: int,
+    host: str = '127.0.0.1',
+    lag_s: float = 0.0,
+    history: str = '',
+    check_settings: bool = False,
+) -> int:
     """Serve the list of VMs; changes show after ``lag_s`` seconds."""
-    start(_standin_vms.run(host, port, float(lag_s), history))
+    return start(
+        _standin_vms.run(host, port, float(lag_s), history), check_settings
+    )
 
 
+@_command_line.deferred
 def backend(
     port: int = 0,
     host: str = '127.0.0.1',
@@ -63,7 +78,8 @@
     secret_prefix: str = '',
     seed: int = 1,
     history: str = '',
-) -> None:
+    check_settings: bool = False,
+) -> int:
     """Serve one backend server, or all of a spec file.
 
     With ``control_port`` one more listener controls all servers by name.
@@ -85,15 +101,17 @@
         'host': host,
         'port': port,
     }
-    docs = _standin_fleet.read_spec(spec) if spec else [own]
+    docs = read(_standin_fleet.read_spec, spec) if spec else [own]
     control = (host, control_port) if control_port else None
-    start(
+    return start(
         _standin_fleet.run(
             docs, control, faults, seed, str(secret_prefix), history
-        )
+        ),
+        check_settings,
     )
 
 
+@_command_line.deferred
 def link(
     port: int,
     host: str = '127.0.0.1',
@@ -103,7 +121,8 @@
     delay_ms: float = 0.0,
     rate: float = 0.0,
     history: str = '',
-) -> None:
+    check_settings: bool = False,
+) -> int:
     """Relay the pairs of a spec file, or from ``listen`` to ``target``.
 
     ``port`` is that of the control path, ``rate`` in bytes a second.
@@ -113,9 +132,11 @@
         'port': listen,
         'target': target,
     }
-    relays = _standin_link.read_spec(spec) if spec else [own]
+    relays = read(_standin_link.read_spec, spec) if spec else [own]
     initial = {'*': {'delay_s': delay_ms / 1000, 'rate': float(rate)}}
-    start(_standin_link.run(host, port, relays, initial, history))
+    return start(
+        _standin_link.run(host, port, relays, initial, history), check_settings
+    )
 
 
 COMMANDS: typing.Final = {
@@ -126,33 +147,51 @@
 }
 
 
+def read(
+    reader: collections.abc.Callable[[str], list[Doc]], path: str
+) -> list[Doc]:
+    """Read a spec file; ends the process with code 2 if it is wrong."""
+    try:
+        return reader(path)
+    except (OSError, UnicodeDecodeError) as error:
+        message = f'cannot read {path}: {error}'
+    except result.UnwrapError as error:
+        message = f'{path}: {error.result.err()}'
+    sys.exit(_command_line.fail('filbertstep-standin', message))
+
+
 def start(
     running: collections.abc.Coroutine[typing.Any, typing.Any, None],
-) -> None:
-    """Run a stand-in until it is told to stop."""
+    check_settings: bool,
+) -> int:
+    """Run a stand-in until it is told to stop, unless only checking."""
+    if check_settings:
+        running.close()
+        return _command_line.EXIT_OK
     logs.setup('INFO')
     uvloop.run(running)
+    return _command_line.EXIT_OK
 
 
 def store_main() -> None:
     """Run the store from the command line."""
-    fire.Fire(store)
+    _command_line.run('filbertstep-standin-store', store)
 
 
 def vms_main() -> None:
     """Run the VM list from the command line."""
-    fire.Fire(vms)
+    _command_line.run('filbertstep-standin-vms', vms)
 
 
 def backend_main() -> None:
     """Run backend servers from the command line."""
-    fire.Fire(backend)
+    _command_line.run('filbertstep-standin-backend', backend)
 
 
 def link_main() -> None:
     """Run relays from the command line."""
-    fire.Fire(link)
+    _command_line.run('filbertstep-standin-link', link)
 
 
 if __name__ == '__main__':
-    fire.Fire(COMMANDS, command=sys.argv[1:])
+    _command_line.run('filbertstep.standins', COMMANDS)
