--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,15 @@
 demo: $(STAMP)
 	$(BIN)/filbertstep-demo
 
+bench: $(STAMP)
+	$(BIN)/python -m filbertstep.bench --seed=$(SEED)
+
 test: $(STAMP)
 	$(BIN)/python -m tests.run
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seconds=$(SECONDS) --seed=$(SEED)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check filbertstep tests
 	$(BIN)/ruff check --select I filbertstep tests
@@ -39,3 +45,6 @@
 	$(BIN)/pip-compile -q --extra dev --strip-extras --no-emit-index-url \
 	    --no-emit-trusted-host --no-emit-find-links \
 	    -o requirements.lock pyproject.toml
+
+capacity: $(STAMP)
+	$(BIN)/python -m filbertstep.capacity
--- a/filbertstep/_exchange.py
+++ b/filbertstep/_exchange.py
@@ -18,6 +18,7 @@
 import result
 
 from filbertstep import _admission
+from filbertstep import _tokens
 from filbertstep import _tries
 from filbertstep import clock
 from filbertstep import delivery
@@ -25,9 +26,6 @@
 from filbertstep import routing
 from filbertstep import systems
 
-# Longest time in seconds that a request waits for tokens of its account.
-TOKEN_WAIT_S: typing.Final = 0.25
-
 # Kinds of refusals that hold for an id whatever its other copies do: the id
 # is fenced, or the refused body is not that of the other copies.
 FINAL_KINDS: typing.Final = frozenset(
@@ -109,6 +107,7 @@
             body,
             request_id,
             _admission.request_digest(admitted.raw, body),
+            self.token(admitted),
         )
         # A request that runs at most once is finished although its caller
         # left, so that the caller can ask for the outcome.
@@ -126,22 +125,48 @@
     async def run_copy(self, job: _tries.Job, grant: delivery.Grant) -> Reply:
         """Run one copy of a tracked request.
 
-        A refusal of one copy says nothing about another one in progress.
+        A refusal of one copy says 'not run' only when no other copy can run
+        or ran: the others may still wait for a slot, before an intent is
+        recorded.
         """
         key = (job.admitted.account, job.request_id)
         self.copies[key] += 1
         try:
             reply = await self.run_tracked(job, grant)
-            shared = self.copies[key] > 1
+            failure = reply.failure
+            if (
+                failure is not None
+                and reply.ran is errors.Ran.NO
+                and failure.kind not in FINAL_KINDS
+                and self.others_may_run(key)
+            ):
+                reply = reply._replace(ran=errors.Ran.UNKNOWN)
+            return reply
         finally:
             self.copies[key] -= 1
             if not self.copies[key]:
                 del self.copies[key]
-        failure = reply.failure
-        if shared and failure is not None and reply.ran is errors.Ran.NO:
-            if failure.kind not in FINAL_KINDS:
-                return reply._replace(ran=errors.Ran.UNKNOWN)
-        return reply
+
+    def others_may_run(self, key: tuple[str, str]) -> bool:
+        """Tell whether another copy than the one that ends may run or ran."""
+        if self.copies[key] > 1:
+            return True
+        own = self.intents.owned.rows.get(key)
+        if own is None:
+            return False
+        if not own.outcome.done():
+            return True
+        outcome = own.outcome.result()
+        return (
+            not isinstance(outcome, result.Err)
+            or outcome.err_value.kind is not errors.ErrorKind.NOT_RUN
+        )
+
+    def has_copy(self, request_id: str) -> bool:
+        """Tell whether this VM has had or has an id, of any account."""
+        return request_id in self.intents.owned.ids or any(
+            name == request_id for _, name in self.copies
+        )
 
     def own_id(self) -> str:
         """Return a request id of this process as owner.
@@ -162,10 +187,11 @@
         self, admitted: _admission.Admitted, body: bytes, request_id: str
     ) -> Reply:
         """Run a request that may run more than once."""
-        failure = await self.check(admitted, body)
+        token = self.token(admitted)
+        failure = await self.check(admitted, body, token)
         if failure is not None:
             return refused(request_id, failure)
-        job = _tries.Job(admitted, body, request_id, '')
+        job = _tries.Job(admitted, body, request_id, '', token)
         return to_reply(request_id, await self.tries.run(job))
 
     async def run_tracked(
@@ -174,12 +200,12 @@
         """Run a request at most once, or tell what became of it."""
         admitted = job.admitted
         first = self.first_copy(admitted.account, job.request_id, grant)
-        failure = await self.check(admitted, job.body)
+        failure = await self.check(admitted, job.body, job.token)
+        # Another copy may have arrived while this one waited.
+        first = first and self.first_copy(
+            admitted.account, job.request_id, grant
+        )
         if failure is not None:
-            # Another copy may have arrived while this one waited.
-            first = first and self.first_copy(
-                admitted.account, job.request_id, grant
-            )
             return refused(
                 job.request_id, failure, None if first else errors.Ran.UNKNOWN
             )
@@ -192,6 +218,14 @@
             admitted.deadline - self.ticks.now(),
         )
 
+    def token(
+        self, admitted: _admission.Admitted
+    ) -> _tokens.AccountToken | None:
+        """Return a place for the account's token; None where none is due."""
+        if admitted.account == _admission.OPEN_ACCOUNT:
+            return None
+        return _tokens.AccountToken(self.shares, admitted.account, self.ticks)
+
     async def resolve(
         self, account: str, request_id: str, digest: str, wait_s: float
     ) -> Reply:
@@ -202,7 +236,10 @@
         return stored_reply(request_id, outcome)
 
     async def check(
-        self, admitted: _admission.Admitted, body: bytes
+        self,
+        admitted: _admission.Admitted,
+        body: bytes,
+        token: _tokens.AccountToken | None,
     ) -> errors.Failure | None:
         """Check quarantine and rate; take one token of the account."""
         now = self.ticks.now()
@@ -217,17 +254,10 @@
                 'this request broke the connections of several servers',
                 until,
             )
-        if admitted.account == _admission.OPEN_ACCOUNT:
-            return None
-        resource = f'client_account/{admitted.account}'
-        wait_s = min(TOKEN_WAIT_S, admitted.deadline - now)
-        if await self.shares.take(resource, 1.0, wait_s):
+        wait_s = min(_tries.TOKEN_WAIT_S, admitted.deadline - now)
+        if token is None or await token.take(wait_s):
             return None
-        return errors.Failure(
-            errors.ErrorKind.OVER_RATE,
-            'the client account is over its rate',
-            self.shares.retry_after(resource, self.ticks.now()),
-        )
+        return _tries.over_rate(token)
 
     def first_copy(
         self, account: str, request_id: str, grant: delivery.Grant
--- a/filbertstep/_node.py
+++ b/filbertstep/_node.py
@@ -87,7 +87,6 @@
         self.build_delivery()
         self.build_listeners()
         self.runners: list[web.AppRunner] = []
-        self.recorded_index = 0
         self.recorded_state = ''
 
     def build_agreement(self, rng: random.Random) -> None:
@@ -117,7 +116,9 @@
             self.peers,
             self.views,
             (),
-            lambda: self.burden(),
+            # As of the last tick: a sum over all slots is too much for each
+            # heartbeat.
+            lambda: self.lookups.burden,
             rng,
         )
 
@@ -134,7 +135,11 @@
             rng,
         )
         self.shares = sharing.ShareSystem(*neighbours)
-        self.slots = sharing.SlotSystem(*neighbours)
+        self.slots: sharing.SlotSystem | sharing.OpenSlots
+        if self.options.choice_policy == settings.DEFAULT_POLICY:
+            self.slots = sharing.SlotSystem(*neighbours)
+        else:
+            self.slots = sharing.OpenSlots(self.views)
 
     def build_routing(self, rng: random.Random) -> None:
         """Build what decides where a request goes."""
@@ -161,6 +166,7 @@
             options.region,
             options.availability_zone,
             rng,
+            routing.POLICIES[options.choice_policy](),
         )
         self.slots.on_loans(self.dispatcher.wake)
 
@@ -238,6 +244,13 @@
         ]
         for part in parts:
             self.agree.add_part(part)
+        # Recorded when learned: the next tick may come after an operator was
+        # told that the ticket is accepted.
+        self.agree.add_listener(
+            lambda view, now: self.recorder.config_applied(
+                view.head_index, view.head['ticket']
+            )
+        )
         # Agreement first: what follows acts on the views it learned.
         self.systems: list[systems.System] = [
             self.agree,
@@ -291,12 +304,6 @@
         self.counters.head_index.set(self.views.index())
         for name, queue in self.dispatcher.queues.items():
             self.counters.queued.labels(name).set(len(queue))
-        newest = self.views.newest
-        if newest is not None and newest.head_index != self.recorded_index:
-            self.recorded_index = newest.head_index
-            self.recorder.config_applied(
-                newest.head_index, newest.head['ticket']
-            )
         if self.agree.state != self.recorded_state:
             self.recorded_state = self.agree.state
             self.lookups.state = self.agree.state
