Route peers' messages whose path has two parts

A returned slot stayed unused until its loan ended (5 s for bookings, 13 s for calibration), and up to 12 of Hobart's 21 slots were out of use while its VMs refused requests.

Ruled out: servers in slow start or marked down (no health change was logged), lost answers (4 of the traced calls), and full servers (5 to 10 of 21 slots ran while requests were refused).

Change: the route matches any path under /peer/; a test sends both kinds of path through the real listener and client.

--- a/filbertstep/_peer_server.py
+++ b/filbertstep/_peer_server.py
@@ -30,7 +30,7 @@
             client_max_size=MAX_MESSAGE_BYTES,
             middlewares=[_web.closed_errors, _web.require_bearer([token])],
         )
-        app.router.add_post('/peer/{name}', self.answer)
+        app.router.add_post('/peer/{name:.+}', self.answer)
         return app
 
     async def answer(self, request: web.Request) -> web.Response:
