--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 test: $(STAMP)
 	$(BIN)/python -m tests.run
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seconds=$(SECONDS) --seed=$(SEED)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check filbertstep tests
 	$(BIN)/ruff check --select I filbertstep tests
@@ -42,3 +45,6 @@
 	$(BIN)/pip-compile -q --extra dev --strip-extras --no-emit-index-url \
 	    --no-emit-trusted-host --no-emit-find-links \
 	    -o requirements.lock pyproject.toml
+
+capacity: $(STAMP)
+	$(BIN)/python -m filbertstep.capacity
--- a/filbertstep/_traffic.py
+++ b/filbertstep/_traffic.py
@@ -159,6 +159,8 @@
 class Traffic:
     """All callers of a deployment."""
 
+    client_type: type[RecordingClient] = RecordingClient
+
     def __init__(
         self,
         deployed: deployment.Deployment,
@@ -238,7 +240,7 @@
         rng = random.Random(self.random.getrandbits(64))
         end = loop.time() + seconds
         under_way: set[asyncio.Task[None]] = set()
-        client = RecordingClient(source, self.writer, rng.getrandbits(32))
+        client = self.client_type(source, self.writer, rng.getrandbits(32))
         async with client:
             at = loop.time()
             while source.rate > 0:
