--- a/filbertstep/_bench.py
+++ b/filbertstep/_bench.py
@@ -116,6 +116,9 @@
                 ]
                 facts = deployed.facts()
                 region = _bench_plan.last_region(deployed)
+                # All figures are taken; draining would only cost time.
+                for vm in deployed.vms:
+                    deployed.processes.kill(vm)
             events = checking.read(pathlib.Path(directory) / 'history')
         for one in done:
             found = self.figures(one, events, facts, region)
--- a/filbertstep/_capacity_sharing.py
+++ b/filbertstep/_capacity_sharing.py
@@ -9,6 +9,8 @@
 from filbertstep import _capacity_fit
 from filbertstep import _capacity_world
 from filbertstep import config
+from filbertstep import node
+from filbertstep import sharing
 from filbertstep import systems
 
 Size = _capacity_world.Size
@@ -70,7 +72,7 @@
 
         one.shares.table.buckets.clear()
         _, shares_mib, _ = _capacity_blocks.memory(fill_shares)
-        table = one.slots.table
+        table = slot_system(one).table
         table.owned, table.shares, table.places = {}, {}, {}
         _, slots_mib, _ = _capacity_blocks.memory(fill_slots)
 
@@ -98,11 +100,19 @@
     return uvloop.run(tables(Size(servers=size)))
 
 
+def slot_system(one: node.Node) -> sharing.SlotSystem:
+    """Return the slots of a node that is no baseline of the bench."""
+    if not isinstance(one.slots, sharing.SlotSystem):
+        raise TypeError('the node has no slot system')
+    return one.slots
+
+
 async def request_rules(servers: int) -> Values:
     """Measure the share and the slot of one request."""
     async with _capacity_world.node_of(Size(servers=servers)) as one:
         now = one.ticks.now()
         one.tick()
+        slots = slot_system(one)
         for bucket in one.shares.table.buckets.values():
             bucket.limits = bucket.limits._replace(rate=1e9, burst=1e9)
             bucket.tokens = 1e8
@@ -111,9 +121,7 @@
             if not one.shares.try_take('client_account/account-0', 1.0, now):
                 raise AssertionError('no token')
 
-        server = next(
-            name for name, own in one.slots.table.owned.items() if own
-        )
+        server = next(name for name, own in slots.table.owned.items() if own)
 
         def slot() -> None:
             hold = one.slots.acquire(server, 1.0, now)
@@ -121,7 +129,7 @@
                 raise AssertionError('no slot')
             one.slots.release(hold, now)
 
-        place = one.slots.table.service(server)
+        place = slots.table.service(server)
         if place is None:
             raise AssertionError('no such server')
         return {
--- a/filbertstep/_codec.py
+++ b/filbertstep/_codec.py
@@ -72,15 +72,6 @@
     return None
 
 
-@functools.cache
-def fields(shape: type) -> dict[str, object]:
-    """Return the fields of an object's shape and their types.
-
-    Working them out was the largest item in a profile of share messages.
-    """
-    return typing.get_type_hints(shape, include_extras=False)
-
-
 def unknown_in_object(
     raw: dict[str, object], shape: type, path: str
 ) -> str | None:
--- a/filbertstep/_settings.py
+++ b/filbertstep/_settings.py
@@ -96,7 +96,7 @@
     history_file: str | None
     ca_file: str | None
     stop_timeout_s: float
-    choice_policy: str
+    choice_policy: str = DEFAULT_POLICY
 
 
 def listener_row(doc: ListenerDoc) -> Listener:
