--- a/filbertstep/_callers.py
+++ b/filbertstep/_callers.py
@@ -78,6 +78,7 @@
         if isinstance(answer, result.Err):
             return _web.error_response(answer.err_value)
         self.counters.lookups.labels(service).inc()
+        self.recorder.lookup(service, answer.ok_value)
         return web.Response(
             body=answer.ok_value, content_type='application/json'
         )
--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -68,7 +68,8 @@
 class Outcome(typing.NamedTuple):
     """Outcome of a try; what it holds depends on the kind.
 
-    ``sent`` tells whether the server may have seen the request.  ``failure``
+    ``sent`` tells whether the server may have seen the request, ``status``
+    is 0 when no head of an answer arrived.  ``failure``
     is that of ``on_sending``.  For ANSWERED either ``body`` is whole, or
     ``stream`` yields it and raises ``BrokenAnswerError`` when it is cut.
     """
@@ -103,6 +104,8 @@
         # Time of the event loop at which the try ends.
         self.deadline = deadline
         self.sent = False
+        # Status of the answer, 0 until its head arrives.
+        self.status = 0
         self.cancelled = False
         self.limit: asyncio.Timeout | None = None
         self.transport: asyncio.Transport | None = None
@@ -305,6 +308,7 @@
             data=attempt.body or None,
             allow_redirects=False,
         )
+        sending.status = response.status
         try:
             return await self.read(attempt, sending, response)
         except BaseException:
@@ -359,7 +363,7 @@
 def lost(sending: Sending, message: str) -> Outcome:
     """Return the outcome of a try whose connection failed."""
     kind = OutcomeKind.BROKEN if sending.sent else OutcomeKind.NOT_SENT
-    return Outcome(kind, sending.sent, message=message)
+    return Outcome(kind, sending.sent, status=sending.status, message=message)
 
 
 def bounded(method: str, response: aiohttp.ClientResponse) -> bool:
--- a/filbertstep/_recorder.py
+++ b/filbertstep/_recorder.py
@@ -5,7 +5,10 @@
 
 import typing
 
+import msgspec
+
 from filbertstep import checking
+from filbertstep import lookup
 from filbertstep import routing
 
 if typing.TYPE_CHECKING:
@@ -30,6 +33,14 @@
             account=admitted.account,
         )
 
+    def lookup(self, service: str, answer: bytes) -> None:
+        """Record the VMs that a look-up named."""
+        if self.writer.file is None:
+            return
+        named = msgspec.json.decode(answer, type=lookup.LookupDoc)
+        vms = [row['vm'] for row in named['vms']]
+        self.writer.write('lookup', service=service, vms=vms)
+
     def placed(self, job: '_tries.Job', placement: routing.Placement) -> None:
         """Record the region that a request was placed in."""
         self.writer.write(
--- a/filbertstep/_tries.py
+++ b/filbertstep/_tries.py
@@ -161,6 +161,7 @@
     async def run(self, job: Job) -> Ended:
         """Try a request until it ends; the account's rate was checked."""
         progress = Progress(job)
+        self.recorder.admitted(job.request_id, job.admitted)
         self.retries.note_request(job.admitted.service.name)
         try:
             while True:
@@ -366,7 +367,10 @@
             return await self.not_run(progress, outcome.failure)
         progress.may_have_run |= rule.run_may_continue
         progress.tried.add(assignment.server.name)
-        if outcome.kind is delivery.OutcomeKind.BROKEN:
+        # A server that crashes on a request has not begun to answer it; cut
+        # answers must not quarantine a request that many callers send.
+        crashed = outcome.kind is delivery.OutcomeKind.BROKEN
+        if crashed and outcome.status == 0:
             self.strike(progress.job)
         if rule.following is Next.OTHER_SERVER and outcome.sent:
             # Shed: the server did not run it, so its token is not used up.
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -158,15 +158,19 @@
         'shorter than its length',
         replies(answer(b'0123456789')[:-1], close=True),
         O.BROKEN,
+        b'',
+        200,
     ),
     Case(
         'chunks without end', replies(CHUNKED, b'3\r\nabc\r\n', close=True),
-        O.BROKEN,
+        O.BROKEN, b'', 200,
     ),
     Case(
         'no length and no chunks',
         replies(b'HTTP/1.1 200 OK\r\n\r\nabc', close=True),
         O.BROKEN,
+        b'',
+        200,
     ),
     Case('no HTTP', replies(b'hello\r\n\r\n', close=True), O.BROKEN),
 ]  # fmt: skip
--- a/tests/test_tries.py
+++ b/tests/test_tries.py
@@ -51,14 +51,17 @@
 class FakeForwarder:
     """Ends each try in one way."""
 
-    def __init__(self, kind: Kind) -> None:
+    def __init__(self, kind: Kind, status: int = 0) -> None:
         self.kind = kind
+        self.status = status
 
     async def send(
         self, attempt: delivery.Attempt, on_sending: delivery.OnSending
     ) -> delivery.Outcome:
         """Return the outcome without sending."""
-        return delivery.Outcome(self.kind, self.kind is not Kind.NOT_SENT)
+        return delivery.Outcome(
+            self.kind, self.kind is not Kind.NOT_SENT, self.status
+        )
 
 
 class Ignored:
@@ -89,14 +92,14 @@
     return _tries.Job(typing.cast(typing.Any, admitted), b'', 'r', '', None)
 
 
-async def run(kind: Kind, slots: int) -> _tries.Ended:
-    """Run a request whose tries end in one way while there are slots."""
+def tries_of(kind: Kind, slots: int, status: int = 0) -> _tries.Tries:
+    """Return tries that end in one way while there are slots."""
     ignored = typing.cast(typing.Any, Ignored())
     tries = _tries.Tries(
         ignored,
         typing.cast(typing.Any, FakeDispatcher(slots)),
         ignored,
-        typing.cast(typing.Any, FakeForwarder(kind)),
+        typing.cast(typing.Any, FakeForwarder(kind, status)),
         routing.QuarantineSystem('vm-1', 'a'),
         ignored,
         clock.FakeClock(),
@@ -106,7 +109,12 @@
     # A budget that allows the one repeat of these requests.
     for _ in range(100):
         tries.retries.note_request('bookings')
-    return await tries.run(job())
+    return tries
+
+
+async def run(kind: Kind, slots: int) -> _tries.Ended:
+    """Run a request whose tries end in one way while there are slots."""
+    return await tries_of(kind, slots).run(job())
 
 
 class TestRefusedRepeat(unittest.IsolatedAsyncioTestCase):
@@ -131,3 +139,15 @@
                     ended = await run(kind, slots)
                     self.assertEqual(REFUSED, ended.failure)
                     self.assertIsNone(ended.ran)
+
+
+class TestStrikes(unittest.IsolatedAsyncioTestCase):
+    """Which broken connections count against a request."""
+
+    async def test_only_crashes_count(self) -> None:
+        """Guards against cut answers that quarantine a popular request."""
+        for status, struck in ((0, True), (200, False)):
+            with self.subTest(status=status):
+                tries = tries_of(Kind.BROKEN, 2, status)
+                await tries.run(job())
+                self.assertEqual(struck, tries.quarantined(job()))
