Spread a caller's requests over the VMs of its region

A caller used the first VM of a look-up for two seconds. Answers now carry a weight that falls with the burden, and callers spread their requests by it over the first VM's region.

--- a/filbertstep/_caller.py
+++ b/filbertstep/_caller.py
@@ -254,7 +254,27 @@
                 if vm['vm'] == owner:
                     return vm
             progress.grant = None
-        return ordered[0] if ordered else None
+        if progress.request_id is not None or not ordered:
+            return ordered[0] if ordered else None
+        return self.spread(ordered)
+
+    def spread(self, ordered: list[lookup.LookupVmDoc]) -> lookup.LookupVmDoc:
+        """Return one of the VMs of the first one's region, by weight.
+
+        With the first VM for all requests until the next look-up, a few large
+        callers load one VM while its neighbours' slots are idle.
+        """
+        now = asyncio.get_running_loop().time()
+        first = ordered[0]
+        avoided = self.avoid.get(first['url'], 0.0) > now
+        near = [
+            vm
+            for vm in ordered
+            if vm['region'] == first['region']
+            and (self.avoid.get(vm['url'], 0.0) > now) == avoided
+        ]
+        weights = [vm['weight'] for vm in near]
+        return self.random.choices(near, weights)[0]
 
     async def vms(self, service: str) -> list[lookup.LookupVmDoc]:
         """Return the VMs of a look-up that is not older than its hold."""
--- a/filbertstep/_command_line.py
+++ b/filbertstep/_command_line.py
@@ -25,7 +25,10 @@
 
 
 class Deferred:
-    """Work that a command line asks for; returns the exit code."""
+    """Work that a command line asks for; returns the exit code.
+
+    The attribute is private because ``fire`` offers public ones as commands.
+    """
 
     def __init__(self, work: collections.abc.Callable[[], int | None]) -> None:
         self._work = work
@@ -67,11 +70,16 @@
         component, command=arguments, name=name, serialize=shown
     )
     if isinstance(outcome, Deferred):
-        code = outcome._work()
+        code = finish(outcome)
         if code:
             sys.exit(code)
 
 
+def finish(deferred_work: Deferred) -> int:
+    """Do deferred work; return the exit code."""
+    return deferred_work._work() or EXIT_OK
+
+
 def fail(name: str, message: str) -> int:
     """Print why a command cannot start; return the exit code."""
     print(f'{name}: {message}', file=sys.stderr)
--- a/filbertstep/_lookup.py
+++ b/filbertstep/_lookup.py
@@ -45,12 +45,17 @@
 
 
 class LookupVmDoc(typing.TypedDict):
-    """One VM in an answer."""
+    """One VM in an answer.
+
+    Callers spread their requests over the VMs of the first one's region in
+    proportion to ``weight``, which falls with a VM's burden.
+    """
 
     vm: str
     url: str
     region: str
     grant: str
+    weight: int
 
 
 class LookupDoc(typing.TypedDict):
@@ -216,6 +221,7 @@
                     url=row.url,
                     region=row.region,
                     grant=self.grants[row.vm],
+                    weight=1 + BURDEN_STEPS - int(row.burden),
                 )
                 for row in vms[:MAX_VMS]
             ],
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -105,6 +105,7 @@
                 'url': url,
                 'region': 'hobart',
                 'grant': 'vm-1~a~vm-1~a~1',
+                'weight': 1,
             }
             return _web.json_response(
                 {'hold_s': 2, 'service': 'bookings', 'vms': [row]}
