--- a/filbertstep/_caller.py
+++ b/filbertstep/_caller.py
@@ -106,16 +106,24 @@
         body: bytes = b'',
         idempotent: bool | None = None,
         deadline_s: float | None = None,
+        try_timeout_s: float | None = None,
     ) -> _caller_state.CallAnswer:
         """Run a request; ``target`` is its path with an encoded query.
 
-        Without ``idempotent`` the method decides, as for GET.  Never raises
-        for failures of the network.
+        Without ``idempotent`` the method decides, as for GET.  A try should
+        last longer than the service's deadline; giving up earlier keeps its
+        slot in use until then.  Never raises for failures of the network.
         """
         if idempotent is None:
             idempotent = method in IDEMPOTENT_METHODS
         request = _caller_state.Request(
-            service, method, target, tuple(headers), body, idempotent
+            service,
+            method,
+            target,
+            tuple(headers),
+            body,
+            idempotent,
+            self.try_timeout_s if try_timeout_s is None else try_timeout_s,
         )
         limit = self.deadline_s if deadline_s is None else deadline_s
         progress = _caller_state.Progress(
@@ -176,6 +184,7 @@
             request.method,
             (*request.headers, ('X-Request-Id', progress.request_id)),
             request.body,
+            request.try_timeout_s,
         )
         if reply.ran() is errors.Ran.NO:
             progress.open_id = before
--- a/filbertstep/_caller_state.py
+++ b/filbertstep/_caller_state.py
@@ -23,7 +23,7 @@
 
 
 class Request(typing.NamedTuple):
-    """What a caller wants."""
+    """What a caller wants; ``try_timeout_s`` in seconds bounds one try."""
 
     service: str
     method: str
@@ -31,6 +31,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     idempotent: bool
+    try_timeout_s: float
 
 
 class Reply(typing.NamedTuple):
--- a/filbertstep/_traffic.py
+++ b/filbertstep/_traffic.py
@@ -23,6 +23,12 @@
 INTERACTIVE_LIMIT_S: typing.Final = 8.0
 DEFERRABLE_LIMIT_S: typing.Final = 20.0
 
+# Time limit in seconds of one try, where a kind names none.
+TRY_S: typing.Final = 6.0
+
+# Time in seconds that one try may take beyond the service's deadline.
+TRY_MARGIN_S: typing.Final = 2.0
+
 # Share of a service's requests that are not idempotent, where it has any.
 ORDER_SHARE: typing.Final = 0.2
 
@@ -57,6 +63,7 @@
     idempotent: bool
     limit_s: float
     share: float
+    try_timeout_s: float = TRY_S
 
 
 def kinds(plan: deployment.Plan) -> list[Kind]:
@@ -67,13 +74,30 @@
         share = DEFERRABLE_SHARE if deferrable else 1 - DEFERRABLE_SHARE
         limit_s = DEFERRABLE_LIMIT_S if deferrable else INTERACTIVE_LIMIT_S
         orders = 0.0 if deferrable else ORDER_SHARE
+        try_s = service['deadline_ms'] / 1000 + TRY_MARGIN_S
         target = f'{service["path_prefix"]}/items'
         found.append(
-            Kind(name, 'GET', target, True, limit_s, share * (1 - orders))
+            Kind(
+                name,
+                'GET',
+                target,
+                True,
+                limit_s,
+                share * (1 - orders),
+                try_s,
+            )
         )
         if orders:
             found.append(
-                Kind(name, 'POST', target, False, limit_s, share * orders)
+                Kind(
+                    name,
+                    'POST',
+                    target,
+                    False,
+                    limit_s,
+                    share * orders,
+                    try_s,
+                )
             )
     return found
 
@@ -270,6 +294,7 @@
             body=body,
             idempotent=kind.idempotent,
             deadline_s=kind.limit_s,
+            try_timeout_s=kind.try_timeout_s,
         )
 
     def close(self) -> None:
