--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 SECONDS ?= 300
 
-.PHONY: demo test lint format types check lock soak bench burn capacity clean
+.PHONY: demo test lint format types check lock soak bench capacity
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
