Move what outcomes of tries mean into a module of its own

_tries had grown to 514 lines. The table from outcome to rule and the state of a request over its tries are data; the class that runs the tries reads them.

--- a/filbertstep/_exchange.py
+++ b/filbertstep/_exchange.py
@@ -20,6 +20,7 @@
 from filbertstep import _admission
 from filbertstep import _tokens
 from filbertstep import _tries
+from filbertstep import _try_state
 from filbertstep import clock
 from filbertstep import delivery
 from filbertstep import errors
@@ -102,7 +103,7 @@
         parsed = delivery.parse_request_id(request_id)
         if isinstance(parsed, result.Err):
             return refused('', parsed.err_value)
-        job = _tries.Job(
+        job = _try_state.Job(
             admitted,
             body,
             request_id,
@@ -122,7 +123,9 @@
             task.add_done_callback(discard_reply)
             raise
 
-    async def run_copy(self, job: _tries.Job, grant: delivery.Grant) -> Reply:
+    async def run_copy(
+        self, job: _try_state.Job, grant: delivery.Grant
+    ) -> Reply:
         """Run one copy of a tracked request.
 
         A refusal of one copy says 'not run' only when no other copy can run
@@ -191,11 +194,11 @@
         failure = await self.check(admitted, body, token)
         if failure is not None:
             return refused(request_id, failure)
-        job = _tries.Job(admitted, body, request_id, '', token)
+        job = _try_state.Job(admitted, body, request_id, '', token)
         return to_reply(request_id, await self.tries.run(job))
 
     async def run_tracked(
-        self, job: _tries.Job, grant: delivery.Grant
+        self, job: _try_state.Job, grant: delivery.Grant
     ) -> Reply:
         """Run a request at most once, or tell what became of it."""
         admitted = job.admitted
@@ -254,10 +257,10 @@
                 'this request broke the connections of several servers',
                 until,
             )
-        wait_s = min(_tries.TOKEN_WAIT_S, admitted.deadline - now)
+        wait_s = min(_try_state.TOKEN_WAIT_S, admitted.deadline - now)
         if token is None or await token.take(wait_s):
             return None
-        return _tries.over_rate(token)
+        return _try_state.over_rate(token)
 
     def first_copy(
         self, account: str, request_id: str, grant: delivery.Grant
@@ -302,7 +305,7 @@
     return f'{raw.path}?{raw.query}' if raw.query else raw.path
 
 
-def to_reply(request_id: str, ended: _tries.Ended) -> Reply:
+def to_reply(request_id: str, ended: _try_state.Ended) -> Reply:
     """Return the reply for how the tries ended."""
     if ended.failure is not None:
         return refused(request_id, ended.failure, ended.ran)
--- a/filbertstep/_recorder.py
+++ b/filbertstep/_recorder.py
@@ -13,7 +13,7 @@
 
 if typing.TYPE_CHECKING:
     from filbertstep import _admission
-    from filbertstep import _tries
+    from filbertstep import _try_state
 
 
 class Recorder:
@@ -41,7 +41,9 @@
         vms = [row['vm'] for row in named['vms']]
         self.writer.write('lookup', service=service, vms=vms)
 
-    def placed(self, job: '_tries.Job', placement: routing.Placement) -> None:
+    def placed(
+        self, job: '_try_state.Job', placement: routing.Placement
+    ) -> None:
         """Record the region that a request was placed in."""
         self.writer.write(
             'placed',
--- a/filbertstep/_tries.py
+++ b/filbertstep/_tries.py
@@ -5,15 +5,13 @@
 service's retry budget.
 """
 
-import collections.abc
-import enum
 import typing
 
 import result
 
 from filbertstep import _admission
 from filbertstep import _recorder
-from filbertstep import _tokens
+from filbertstep import _try_state
 from filbertstep import clock
 from filbertstep import delivery
 from filbertstep import errors
@@ -24,114 +22,10 @@
 # Servers that one request is sent to at most, those that shed it included.
 MAX_TRIES: typing.Final = 4
 
-# Longest time in seconds that a request waits for a token of its account.
-TOKEN_WAIT_S: typing.Final = 0.25
-
 # Denominator that turns a 52-bit hash into a number in [0, 1).
 HASH_RANGE: typing.Final = float(1 << 52)
 
 
-class Next(enum.Enum):
-    """What may follow a try."""
-
-    DONE = enum.auto()
-    OTHER_SERVER = enum.auto()
-    REPEAT_IDEMPOTENT = enum.auto()
-    STOP = enum.auto()
-
-
-class Rule(typing.NamedTuple):
-    """What a try's outcome means; ``kind`` when nothing follows."""
-
-    observed: routing.Outcome
-    run_may_continue: bool
-    following: Next
-    kind: errors.ErrorKind
-
-
-RULES: typing.Final[dict[delivery.OutcomeKind, Rule]] = {
-    delivery.OutcomeKind.ANSWERED: Rule(
-        routing.Outcome.ANSWERED,
-        False,
-        Next.DONE,
-        errors.ErrorKind.INTERNAL,
-    ),
-    delivery.OutcomeKind.NOT_SENT: Rule(
-        routing.Outcome.CONNECT_FAILED,
-        False,
-        Next.OTHER_SERVER,
-        errors.ErrorKind.NO_ROOM,
-    ),
-    delivery.OutcomeKind.SHED: Rule(
-        routing.Outcome.SHED,
-        False,
-        Next.OTHER_SERVER,
-        errors.ErrorKind.OVERLOADED,
-    ),
-    delivery.OutcomeKind.BROKEN: Rule(
-        routing.Outcome.BROKEN,
-        True,
-        Next.REPEAT_IDEMPOTENT,
-        errors.ErrorKind.BACKEND_FAILED,
-    ),
-    delivery.OutcomeKind.MISMATCHED: Rule(
-        routing.Outcome.BROKEN,
-        True,
-        Next.REPEAT_IDEMPOTENT,
-        errors.ErrorKind.BACKEND_FAILED,
-    ),
-    delivery.OutcomeKind.TIMED_OUT: Rule(
-        routing.Outcome.TIMED_OUT,
-        True,
-        Next.STOP,
-        errors.ErrorKind.DEADLINE_EXCEEDED,
-    ),
-    delivery.OutcomeKind.CANCELLED: Rule(
-        routing.Outcome.CANCELLED,
-        True,
-        Next.STOP,
-        errors.ErrorKind.OUTCOME_UNKNOWN,
-    ),
-}
-
-
-class Job(typing.NamedTuple):
-    """A request to try; ``digest`` identifies it under its request id."""
-
-    admitted: _admission.Admitted
-    body: bytes
-    request_id: str
-    digest: str
-    token: _tokens.AccountToken | None
-
-
-class Ended(typing.NamedTuple):
-    """How the tries of a request ended: a failure, or an answer."""
-
-    failure: errors.Failure | None = None
-    ran: errors.Ran | None = None
-    stored: delivery.StoredAnswer | None = None
-    status: int = 0
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b''
-    stream: collections.abc.AsyncIterable[bytes] | None = None
-    stream_ended: collections.abc.Callable[[int, bool], None] | None = None
-
-
-class Progress:
-    """What is known about one request while it is tried."""
-
-    def __init__(self, job: Job) -> None:
-        self.job = job
-        self.begun = False
-        self.settled = False
-        self.tried: set[str] = set()
-        self.repeated = False
-        self.sending = False
-        # An earlier try was sent and had no answer of its own.
-        self.may_have_run = False
-
-
 class Tries:
     """Assigns, records and sends requests."""
 
@@ -158,9 +52,9 @@
         self.recorder = recorder
         self.retries = routing.RetryBudget()
 
-    async def run(self, job: Job) -> Ended:
+    async def run(self, job: _try_state.Job) -> _try_state.Ended:
         """Try a request until it ends; the account's rate was checked."""
-        progress = Progress(job)
+        progress = _try_state.Progress(job)
         self.recorder.admitted(job.request_id, job.admitted)
         self.retries.note_request(job.admitted.service.name)
         try:
@@ -175,7 +69,7 @@
             if job.token is not None:
                 job.token.give_back()
 
-    async def abandon(self, progress: Progress) -> None:
+    async def abandon(self, progress: _try_state.Progress) -> None:
         """Settle the intent of a request that ended by an exception.
 
         Otherwise its copies would wait for it, and its row would never be
@@ -186,7 +80,9 @@
             progress.settled = True
             await self.intents.abandon(job.admitted.account, job.request_id)
 
-    async def try_once(self, progress: Progress) -> Ended | None:
+    async def try_once(
+        self, progress: _try_state.Progress
+    ) -> _try_state.Ended | None:
         """Do one try; None when another one may follow."""
         job = progress.job
         assigned = await self.dispatcher.assign(
@@ -211,7 +107,9 @@
                 self.finish(assignment, outcome, started, progress.sending)
         return await self.settle(progress, assignment, outcome, started)
 
-    def dispatch_request(self, progress: Progress) -> routing.DispatchRequest:
+    def dispatch_request(
+        self, progress: _try_state.Progress
+    ) -> routing.DispatchRequest:
         """Return what the dispatcher needs to know about a request."""
         job = progress.job
         admitted = job.admitted
@@ -227,18 +125,26 @@
             key_digest=admitted.credentials.digest,
         )
 
-    async def prepare(self, progress: Progress) -> Ended | None:
+    async def prepare(
+        self, progress: _try_state.Progress
+    ) -> _try_state.Ended | None:
         """Do what must precede a send; the result ends the request."""
         job = progress.job
         if job.token is not None:
             # The request may have waited in the queue for longer than its
             # token was good for.
             left = job.admitted.deadline - self.ticks.now()
-            if not await job.token.take(min(TOKEN_WAIT_S, max(0.0, left))):
-                return await self.not_run(progress, over_rate(job.token))
+            if not await job.token.take(
+                min(_try_state.TOKEN_WAIT_S, max(0.0, left))
+            ):
+                return await self.not_run(
+                    progress, _try_state.over_rate(job.token)
+                )
         return await self.begin(progress)
 
-    async def begin(self, progress: Progress) -> Ended | None:
+    async def begin(
+        self, progress: _try_state.Progress
+    ) -> _try_state.Ended | None:
         """Have a tracked request recorded before its first send."""
         job = progress.job
         if not job.admitted.tracked or progress.begun:
@@ -250,14 +156,14 @@
             max(0.0, job.admitted.deadline - self.ticks.now()),
         )
         if isinstance(begun, result.Err):
-            return Ended(failure=begun.err_value)
+            return _try_state.Ended(failure=begun.err_value)
         if not begun.ok_value.run:
-            return Ended(stored=begun.ok_value.answer)
+            return _try_state.Ended(stored=begun.ok_value.answer)
         progress.begun = True
         return None
 
     async def send(
-        self, progress: Progress, assignment: routing.Assignment
+        self, progress: _try_state.Progress, assignment: routing.Assignment
     ) -> delivery.Outcome:
         """Send a request to the assigned server."""
         job = progress.job
@@ -295,7 +201,9 @@
         finally:
             running.dec()
 
-    def may_send(self, job: Job, end: float) -> errors.Failure | None:
+    def may_send(
+        self, job: _try_state.Job, end: float
+    ) -> errors.Failure | None:
         """Check once more, with the connection ready, what may have changed.
 
         The VM may have been frozen since the request was admitted.
@@ -318,7 +226,7 @@
                 1.0,
             )
         if job.token is not None and not job.token.spend():
-            return over_rate(job.token)
+            return _try_state.over_rate(job.token)
         return None
 
     def finish(
@@ -339,7 +247,7 @@
             )
             seen = routing.Observation(observed, 0.0, 0, sending)
         else:
-            rule = RULES[outcome.kind]
+            rule = _try_state.RULES[outcome.kind]
             observed = rule.observed
             if outcome.failure is not None:
                 observed = routing.Outcome.NOT_SENT
@@ -348,20 +256,20 @@
                 now - started,
                 len(outcome.body),
                 rule.run_may_continue,
-                header(outcome.headers, 'x-draining') == 'true',
+                _try_state.header(outcome.headers, 'x-draining') == 'true',
             )
         self.dispatcher.finish(assignment, seen, now)
 
     async def settle(
         self,
-        progress: Progress,
+        progress: _try_state.Progress,
         assignment: routing.Assignment,
         outcome: delivery.Outcome,
         started: float,
-    ) -> Ended | None:
+    ) -> _try_state.Ended | None:
         """Decide what follows a try."""
-        rule = RULES[outcome.kind]
-        if rule.following is Next.DONE:
+        rule = _try_state.RULES[outcome.kind]
+        if rule.following is _try_state.Next.DONE:
             return await self.answered(progress, assignment, outcome, started)
         if outcome.failure is not None:
             return await self.not_run(progress, outcome.failure)
@@ -372,35 +280,40 @@
         crashed = outcome.kind is delivery.OutcomeKind.BROKEN
         if crashed and outcome.status == 0:
             self.strike(progress.job)
-        if rule.following is Next.OTHER_SERVER and outcome.sent:
+        if rule.following is _try_state.Next.OTHER_SERVER and outcome.sent:
             # Shed: the server did not run it, so its token is not used up.
             if progress.job.token is not None:
                 progress.job.token.unspend()
         if self.may_follow(progress, rule.following):
             self.counters.events.labels(f'retry_{outcome.kind.name}').inc()
             return None
-        if rule.following is Next.OTHER_SERVER:
+        if rule.following is _try_state.Next.OTHER_SERVER:
             return await self.not_run(
                 progress,
                 errors.Failure(rule.kind, 'no backend server took it', 0.5),
             )
         return await self.unknown(progress, rule.kind)
 
-    def may_follow(self, progress: Progress, following: Next) -> bool:
+    def may_follow(
+        self, progress: _try_state.Progress, following: _try_state.Next
+    ) -> bool:
         """Tell whether another try may follow."""
         if len(progress.tried) >= MAX_TRIES:
             return False
         admitted = progress.job.admitted
-        if following is Next.OTHER_SERVER:
+        if following is _try_state.Next.OTHER_SERVER:
             return True
-        if following is not Next.REPEAT_IDEMPOTENT or admitted.tracked:
+        if (
+            following is not _try_state.Next.REPEAT_IDEMPOTENT
+            or admitted.tracked
+        ):
             return False
         if progress.repeated or self.quarantined(progress.job):
             return False
         progress.repeated = self.retries.try_retry(admitted.service.name)
         return progress.repeated
 
-    def fingerprint(self, job: Job) -> str:
+    def fingerprint(self, job: _try_state.Job) -> str:
         """Return the fingerprint that strikes are counted by."""
         raw = job.admitted.raw
         target = f'{raw.path}?{raw.query}' if raw.query else raw.path
@@ -408,7 +321,7 @@
             job.admitted.account, raw.method, target, job.body
         )
 
-    def quarantined(self, job: Job) -> bool:
+    def quarantined(self, job: _try_state.Job) -> bool:
         """Tell whether the request is quarantined by now."""
         return (
             self.quarantine.quarantined(
@@ -417,15 +330,15 @@
             is not None
         )
 
-    def strike(self, job: Job) -> None:
+    def strike(self, job: _try_state.Job) -> None:
         """Count a connection that broke while the request ran."""
         self.quarantine.strike(
             job.admitted.account, self.fingerprint(job), self.ticks.now()
         )
 
     async def not_run(
-        self, progress: Progress, failure: errors.Failure
-    ) -> Ended:
+        self, progress: _try_state.Progress, failure: errors.Failure
+    ) -> _try_state.Ended:
         """End a request whose last try was not run and never will be."""
         job = progress.job
         if progress.may_have_run:
@@ -435,27 +348,27 @@
         if progress.begun:
             progress.settled = True
             await self.intents.withdraw(job.admitted.account, job.request_id)
-        return Ended(failure=failure)
+        return _try_state.Ended(failure=failure)
 
     async def unknown(
-        self, progress: Progress, kind: errors.ErrorKind
-    ) -> Ended:
+        self, progress: _try_state.Progress, kind: errors.ErrorKind
+    ) -> _try_state.Ended:
         """End a request that may have run."""
         if progress.begun:
             await self.abandon(progress)
             kind = errors.ErrorKind.OUTCOME_UNKNOWN
-        return Ended(
+        return _try_state.Ended(
             failure=errors.Failure(kind, 'the backend server gave no answer'),
             ran=errors.Ran.UNKNOWN,
         )
 
     async def answered(
         self,
-        progress: Progress,
+        progress: _try_state.Progress,
         assignment: routing.Assignment,
         outcome: delivery.Outcome,
         started: float,
-    ) -> Ended:
+    ) -> _try_state.Ended:
         """End a request that has its answer, or the start of it."""
         job = progress.job
         headers = delivery.answer_headers(outcome.headers)
@@ -488,27 +401,10 @@
             )
             self.dispatcher.finish(assignment, seen, now)
 
-        return Ended(
+        return _try_state.Ended(
             status=outcome.status,
             headers=headers,
             body=outcome.body,
             stream=stream,
             stream_ended=None if stream is None else stream_ended,
         )
-
-
-def over_rate(token: _tokens.AccountToken) -> errors.Failure:
-    """Return the failure of an account without a token."""
-    return errors.Failure(
-        errors.ErrorKind.OVER_RATE,
-        'the client account is over its rate',
-        token.retry_after(),
-    )
-
-
-def header(headers: tuple[tuple[str, str], ...], name: str) -> str:
-    """Return the lower-case value of a header, '' without it."""
-    for found, value in headers:
-        if found.lower() == name:
-            return value.lower()
-    return ''
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -9,6 +9,7 @@
 from filbertstep import _admission
 from filbertstep import _exchange
 from filbertstep import _tries
+from filbertstep import _try_state
 from filbertstep import delivery
 from filbertstep import errors
 from filbertstep import routing
@@ -91,7 +92,7 @@
 
     def test_rows_are_complete(self) -> None:
         """Guards against a kind of outcome without a rule."""
-        self.assertEqual(set(Kind), set(_tries.RULES))
+        self.assertEqual(set(Kind), set(_try_state.RULES))
         self.assertEqual(set(Kind) - {Kind.ANSWERED}, set(ROWS))
 
     async def test_failures(self) -> None:
--- a/tests/test_exchange_copies.py
+++ b/tests/test_exchange_copies.py
@@ -7,7 +7,7 @@
 
 from filbertstep import _admission
 from filbertstep import _exchange
-from filbertstep import _tries
+from filbertstep import _try_state
 from filbertstep import clock
 from filbertstep import delivery
 from filbertstep import errors
@@ -27,13 +27,13 @@
     """Ends each copy as its future says."""
 
     def __init__(self) -> None:
-        self.waiting: list[asyncio.Future[_tries.Ended]] = []
+        self.waiting: list[asyncio.Future[_try_state.Ended]] = []
 
-    async def run(self, job: _tries.Job) -> _tries.Ended:
+    async def run(self, job: _try_state.Job) -> _try_state.Ended:
         """Wait until the test ends the copy."""
         future = asyncio.get_running_loop().create_future()
         self.waiting.append(future)
-        return typing.cast(_tries.Ended, await future)
+        return typing.cast(_try_state.Ended, await future)
 
 
 class TestCopies(unittest.IsolatedAsyncioTestCase):
@@ -80,11 +80,11 @@
         """Guards against 'not run' before the other copy runs."""
         first, second = self.send(), self.send()
         await self.settle()
-        self.tries.waiting[1].set_result(_tries.Ended(failure=REFUSED))
+        self.tries.waiting[1].set_result(_try_state.Ended(failure=REFUSED))
         self.assertIs(errors.Ran.UNKNOWN, (await second).ran)
         self.assertTrue(self.exchange.has_copy(REQUEST_ID))
         # Nothing can run any more when the last copy is refused.
-        self.tries.waiting[0].set_result(_tries.Ended(failure=REFUSED))
+        self.tries.waiting[0].set_result(_try_state.Ended(failure=REFUSED))
         self.assertIs(errors.Ran.NO, (await first).ran)
         self.assertFalse(self.exchange.has_copy(REQUEST_ID))
 
@@ -101,14 +101,14 @@
             REQUEST_ID,
             delivery.StoredAnswer(200, (), b'done'),
         )
-        self.tries.waiting[0].set_result(_tries.Ended(status=200))
+        self.tries.waiting[0].set_result(_try_state.Ended(status=200))
         self.assertIs(errors.Ran.YES, (await first).ran)
-        self.tries.waiting[1].set_result(_tries.Ended(failure=REFUSED))
+        self.tries.waiting[1].set_result(_try_state.Ended(failure=REFUSED))
         self.assertIs(errors.Ran.UNKNOWN, (await second).ran)
 
     async def test_refusal_of_the_only_copy(self) -> None:
         """Guards against 'unknown' when nothing ran."""
         copy = self.send()
         await self.settle()
-        self.tries.waiting[0].set_result(_tries.Ended(failure=REFUSED))
+        self.tries.waiting[0].set_result(_try_state.Ended(failure=REFUSED))
         self.assertIs(errors.Ran.NO, (await copy).ran)
--- a/tests/test_tries.py
+++ b/tests/test_tries.py
@@ -7,6 +7,7 @@
 import result
 
 from filbertstep import _tries
+from filbertstep import _try_state
 from filbertstep import clock
 from filbertstep import delivery
 from filbertstep import errors
@@ -76,7 +77,7 @@
         return self
 
 
-def job() -> _tries.Job:
+def job() -> _try_state.Job:
     """Return a request that may run more than once."""
     admitted = types.SimpleNamespace(
         service=types.SimpleNamespace(name='bookings'),
@@ -89,7 +90,9 @@
             method='GET', path='/bookings', query='', headers=()
         ),
     )
-    return _tries.Job(typing.cast(typing.Any, admitted), b'', 'r', '', None)
+    return _try_state.Job(
+        typing.cast(typing.Any, admitted), b'', 'r', '', None
+    )
 
 
 def tries_of(kind: Kind, slots: int, status: int = 0) -> _tries.Tries:
@@ -112,7 +115,7 @@
     return tries
 
 
-async def run(kind: Kind, slots: int) -> _tries.Ended:
+async def run(kind: Kind, slots: int) -> _try_state.Ended:
     """Run a request whose tries end in one way while there are slots."""
     return await tries_of(kind, slots).run(job())
 
