Let interactive requests wait for 80% of their time

Cause: at 90% load with lagging reports, requests were refused as overloaded after half of their time and their callers came back after a second, which made the p99.

--- a/filbertstep/_dispatch.py
+++ b/filbertstep/_dispatch.py
@@ -36,7 +36,7 @@
 
 # Part of the time to its deadline that an interactive request may wait; the
 # rest is for running it and for the caller to do something else.
-INTERACTIVE_WAIT_SHARE: typing.Final = 0.5
+INTERACTIVE_WAIT_SHARE: typing.Final = 0.8
 
 Waiter = _queue.Waiter[_assignments.DispatchRequest, _assignments.Assignment]
 Queue = _queue.FairQueue[_assignments.DispatchRequest, _assignments.Assignment]
