--- a/filbertstep/_demo.py
+++ b/filbertstep/_demo.py
@@ -145,7 +145,7 @@
     )
     latency = total['latency_s']
     made.append(
-        f'latency ms: p50 {latency["p50"] * 1000:.0f}, '
+        f'latency ms, resends included: p50 {latency["p50"] * 1000:.0f}, '
         f'p90 {latency["p90"] * 1000:.0f}, p99 {latency["p99"] * 1000:.0f}'
     )
     made.append(f'non-idempotent requests doubled: {total["doubled"]}')
