--- a/filbertstep/_capacity_sharing.py
+++ b/filbertstep/_capacity_sharing.py
@@ -17,6 +17,13 @@
 Values = _capacity_fit.Values
 
 
+def own_slots(one: node.Node) -> typing.Any:
+    """Return a node's table of slots, which is private to the slot system."""
+    if not isinstance(one.slots, sharing.SlotSystem):
+        raise TypeError('a baseline node has no table of slots')
+    return one.slots.table
+
+
 async def new_epoch(size: Size) -> Values:
     """Measure what a change of the epoch costs shares and slots."""
     async with _capacity_world.node_of(size) as one:
@@ -72,7 +79,7 @@
 
         one.shares.table.buckets.clear()
         _, shares_mib, _ = _capacity_blocks.memory(fill_shares)
-        table = slot_system(one).table
+        table = own_slots(one)
         table.owned, table.shares, table.places = {}, {}, {}
         _, slots_mib, _ = _capacity_blocks.memory(fill_slots)
 
@@ -100,19 +107,11 @@
     return uvloop.run(tables(Size(servers=size)))
 
 
-def slot_system(one: node.Node) -> sharing.SlotSystem:
-    """Return the slots of a node that is no baseline of the bench."""
-    if not isinstance(one.slots, sharing.SlotSystem):
-        raise TypeError('the node has no slot system')
-    return one.slots
-
-
 async def request_rules(servers: int) -> Values:
     """Measure the share and the slot of one request."""
     async with _capacity_world.node_of(Size(servers=servers)) as one:
         now = one.ticks.now()
         one.tick()
-        slots = slot_system(one)
         for bucket in one.shares.table.buckets.values():
             bucket.limits = bucket.limits._replace(rate=1e9, burst=1e9)
             bucket.tokens = 1e8
@@ -121,7 +120,9 @@
             if not one.shares.try_take('client_account/account-0', 1.0, now):
                 raise AssertionError('no token')
 
-        server = next(name for name, own in slots.table.owned.items() if own)
+        server = next(
+            name for name, own in own_slots(one).owned.items() if own
+        )
 
         def slot() -> None:
             hold = one.slots.acquire(server, 1.0, now)
@@ -129,7 +130,7 @@
                 raise AssertionError('no slot')
             one.slots.release(hold, now)
 
-        place = slots.table.service(server)
+        place = own_slots(one).service(server)
         if place is None:
             raise AssertionError('no such server')
         return {
