--- a/filbertstep/_capacity_agree.py
+++ b/filbertstep/_capacity_agree.py
@@ -283,7 +283,7 @@
     _capacity_fit.Experiment(
         'intents',
         'orders',
-        (250, 500, 1000, 2000),
+        (100, 250, 500, 1000),
         (5, 10, 15, 20),
         # 60 orders a second to one backup for the 20 minutes of a record.
         72_000,
--- a/filbertstep/_capacity_axes.py
+++ b/filbertstep/_capacity_axes.py
@@ -28,6 +28,7 @@
         _capacity_world.ZONE_NODES,
         units,
         measure,
+        _capacity_fit.SHORT_RUNS,
     )
 
 
@@ -43,6 +44,7 @@
         _capacity_world.ACCOUNTS,
         units,
         measure,
+        _capacity_fit.SHORT_RUNS,
     )
 
 
@@ -58,4 +60,5 @@
         _capacity_world.SERVERS,
         units,
         measure,
+        _capacity_fit.SHORT_RUNS,
     )
--- a/filbertstep/_capacity_blocks.py
+++ b/filbertstep/_capacity_blocks.py
@@ -222,7 +222,7 @@
     _capacity_fit.Experiment(
         'blocks',
         'blocks',
-        (58_750, 117_500, 235_000, 470_000),
+        (29_375, 58_750, 117_500, 470_000),
         (200, 400, 800, 1600),
         _capacity_world.BLOCKS,
         {'array_bytes': 'bytes', 'build_ms': 'ms', 'find_us': 'us'},
@@ -231,7 +231,7 @@
     _capacity_fit.Experiment(
         'block_memory',
         'blocks',
-        (7_344, 14_688, 29_375, 58_750),
+        (3_672, 7_344, 14_688, 29_375),
         (200, 400, 800, 1600),
         _capacity_world.BLOCKS,
         {
@@ -272,6 +272,7 @@
             'prepared_kib': 'KiB',
         },
         measure_prepare,
+        _capacity_fit.SHORT_RUNS,
     ),
     _capacity_fit.Experiment(
         'prepare_services',
@@ -286,6 +287,7 @@
             'prepared_kib': 'KiB',
         },
         measure_prepare_services,
+        _capacity_fit.SHORT_RUNS,
     ),
     _capacity_fit.Experiment(
         'in_force',
@@ -296,5 +298,6 @@
         10,
         {'rules_us': 'us for each request'},
         measure_in_force,
+        _capacity_fit.SHORT_RUNS,
     ),
 )
--- a/filbertstep/_capacity_fit.py
+++ b/filbertstep/_capacity_fit.py
@@ -15,6 +15,10 @@
 LEAST_SIZES: typing.Final = 4
 LEAST_RUNS: typing.Final = 3
 
+# Runs of experiments that take below a second each: on a busy machine single
+# runs of them differ by half.
+SHORT_RUNS: typing.Final = 5
+
 MICROSECONDS: typing.Final = 1_000_000.0
 
 Values = dict[str, float]
@@ -26,7 +30,7 @@
 
     ``units`` maps each figure's name to its unit.  ``target`` is the size at
     the target of docs/design.md, section 1.6.  ``quick`` are small sizes for
-    tests.
+    tests.  ``runs`` is the least number of runs.
     """
 
     name: str
@@ -36,6 +40,7 @@
     target: int
     units: dict[str, str]
     measure: collections.abc.Callable[[int], Values]
+    runs: int = LEAST_RUNS
 
 
 class Fit(typing.NamedTuple):
@@ -91,7 +96,7 @@
     samples: dict[str, dict[int, list[float]]] = {
         name: {size: [] for size in sizes} for name in experiment.units
     }
-    for _ in range(runs):
+    for _ in range(max(runs, experiment.runs)):
         for size in sizes:
             gc.collect()
             for name, value in experiment.measure(size).items():
--- a/filbertstep/_capacity_node.py
+++ b/filbertstep/_capacity_node.py
@@ -171,6 +171,7 @@
         _capacity_world.SERVICES,
         HEARTBEAT_UNITS,
         measure_beat_services,
+        _capacity_fit.SHORT_RUNS,
     ),
     _capacity_axes.by_servers(
         'heartbeat_servers', HEARTBEAT_UNITS, measure_beat_servers
--- a/filbertstep/_capacity_process.py
+++ b/filbertstep/_capacity_process.py
@@ -4,6 +4,7 @@
 not include the time that a process waited for a core.
 """
 
+import abc
 import asyncio
 import collections.abc
 import contextlib
@@ -83,13 +84,35 @@
     await running.wait_for(answers, 20.0, url)
 
 
-class LookupBench:
-    """A node and the bare process, kept for all sizes of the experiment."""
+class Bench(abc.ABC):
+    """Processes that are kept for all sizes of an experiment."""
 
     def __init__(self) -> None:
         self.loop = uvloop.new_event_loop()
         self.stack = contextlib.AsyncExitStack()
         self.running: deployment.Deployment | None = None
+
+    @abc.abstractmethod
+    async def measure(self, size: int) -> Values:
+        """Start what is not running yet and measure a size."""
+
+    def run(self, size: int) -> Values:
+        """Measure in the bench's own loop."""
+        asyncio.set_event_loop(self.loop)
+        return self.loop.run_until_complete(self.measure(size))
+
+    def close(self) -> None:
+        """End the processes."""
+        self.loop.run_until_complete(self.stack.aclose())
+        self.loop.close()
+        asyncio.set_event_loop(None)
+
+
+class LookupBench(Bench):
+    """A node and the bare process, kept for all sizes of the experiment."""
+
+    def __init__(self) -> None:
+        super().__init__()
         self.urls: dict[str, tuple[str, int]] = {}
 
     async def start(self) -> deployment.Deployment:
@@ -118,11 +141,11 @@
         await _capacity_load.send(url, count)
         return cpu_ms(pid) - before, resident_mib(pid)
 
-    async def measure(self, count: int) -> Values:
+    async def measure(self, size: int) -> Values:
         """Measure the same number of look-ups and bare answers."""
         await self.start()
-        node_ms, node_mib = await self.spend('node', count)
-        bare_ms, bare_mib = await self.spend('bare', count)
+        node_ms, node_mib = await self.spend('node', size)
+        bare_ms, bare_mib = await self.spend('bare', size)
         return {
             'node_ms': node_ms,
             'bare_ms': bare_ms,
@@ -131,25 +154,12 @@
             'bare_resident_mib': bare_mib,
         }
 
-    def run(self, count: int) -> Values:
-        """Measure in the bench's own loop."""
-        asyncio.set_event_loop(self.loop)
-        return self.loop.run_until_complete(self.measure(count))
 
-    def close(self) -> None:
-        """End the processes."""
-        self.loop.run_until_complete(self.stack.aclose())
-        self.loop.close()
-        asyncio.set_event_loop(None)
-
-
-class FleetBench:
+class FleetBench(Bench):
     """A deployment to which nodes are added until a size is reached."""
 
     def __init__(self) -> None:
-        self.loop = uvloop.new_event_loop()
-        self.stack = contextlib.AsyncExitStack()
-        self.running: deployment.Deployment | None = None
+        super().__init__()
         self.started: list[str] = []
 
     async def grow(self, size: int) -> deployment.Deployment:
@@ -208,17 +218,6 @@
             'node_resident_mib': sum(map(resident_mib, pids)) / size,
         }
 
-    def run(self, size: int) -> Values:
-        """Measure in the bench's own loop."""
-        asyncio.set_event_loop(self.loop)
-        return self.loop.run_until_complete(self.measure(size))
-
-    def close(self) -> None:
-        """End the processes."""
-        self.loop.run_until_complete(self.stack.aclose())
-        self.loop.close()
-        asyncio.set_event_loop(None)
-
 
 async def store_counts(running: deployment.Deployment) -> dict[str, int]:
     """Return the store's counts of calls."""
@@ -228,44 +227,37 @@
     return counts
 
 
-async def probe(count: int) -> Values:
-    """Measure probes of one server that answers at once."""
-    with tempfile.TemporaryDirectory(prefix='filbertstep-') as directory:
-        running = deployment.Deployment(
-            deployment.load(PLAN), deployment.Options(directory)
-        )
-        running.open_session()
-        try:
+class ProbeBench(Bench):
+    """Probes of one server that answers at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.server: config.BackendServer | None = None
+
+    async def start(self) -> config.BackendServer:
+        """Start the server unless it is running."""
+        if self.server is None:
+            running = await self.stack.enter_async_context(deployed())
             url, _ = start_bare(running, 2)
             await wait_url(running, url)
-            server = config.BackendServer(
-                'server-0',
-                'service-0',
-                url.removeprefix('http://'),
-                'region-0',
-                'zone-0',
-                3,
-                400,
-                0.0,
-            )
-            async with aiohttp.ClientSession() as session:
-                prober = routing.HttpProber(session)
-                await prober.probe(server)
-                watch = _capacity_fit.Stopwatch()
-                for _ in range(count):
-                    found = await prober.probe(server)
-                    if found.event is not routing.Event.PROBE_UP:
-                        raise AssertionError('a probe failed')
-                spent = watch.us()
-        finally:
-            await running.close_session()
-            running.processes.close()
-    return {'cpu_ms': spent / 1000}
-
-
-def measure_probe(size: int) -> Values:
-    """Measure probes by their number."""
-    return uvloop.run(probe(size))
+            self.server = config.BackendServer(
+                'server-0', 'service-0', url.removeprefix('http://'),
+                'region-0', 'zone-0', 3, 400, 0.0,
+            )  # fmt: skip
+        return self.server
+
+    async def measure(self, size: int) -> Values:
+        """Measure a number of probes, one after the other."""
+        server = await self.start()
+        async with aiohttp.ClientSession() as session:
+            prober = routing.HttpProber(session)
+            await prober.probe(server)
+            watch = _capacity_fit.Stopwatch()
+            for _ in range(size):
+                found = await prober.probe(server)
+                if found.event is not routing.Event.PROBE_UP:
+                    raise AssertionError('a probe failed')
+            return {'cpu_ms': watch.us() / 1000}
 
 
 LOOKUP_UNITS: typing.Final = {
@@ -292,6 +284,7 @@
     with (
         contextlib.closing(LookupBench()) as lookups,
         contextlib.closing(FleetBench()) as fleet,
+        contextlib.closing(ProbeBench()) as probes,
     ):
         yield (
             _capacity_fit.Experiment(
@@ -320,6 +313,6 @@
                 (5, 10, 15, 20),
                 _capacity_world.SERVERS // _capacity_world.REGIONS,
                 {'cpu_ms': 'ms'},
-                measure_probe,
+                probes.run,
             ),
         )
