--- a/filbertstep/_errors.py
+++ b/filbertstep/_errors.py
@@ -21,6 +21,7 @@
     TICKET_CONFLICT = 'ticket_conflict'
     BODY_TOO_LARGE = 'body_too_large'
     INVALID_TICKET = 'invalid_ticket'
+    HEAD_TOO_LARGE = 'head_too_large'
     OVER_RATE = 'over_rate'
     QUARANTINED = 'quarantined'
     OVERLOADED = 'overloaded'
@@ -94,6 +95,7 @@
     ErrorKind.TICKET_CONFLICT: Answer(409, Ran.NO, Retry.NEVER),
     ErrorKind.BODY_TOO_LARGE: Answer(413, Ran.NO, Retry.NEVER),
     ErrorKind.INVALID_TICKET: Answer(422, Ran.NO, Retry.NEVER),
+    ErrorKind.HEAD_TOO_LARGE: Answer(431, Ran.NO, Retry.NEVER),
     ErrorKind.OVER_RATE: Answer(429, Ran.NO, Retry.LATER),
     ErrorKind.QUARANTINED: Answer(429, Ran.NO, Retry.LATER),
     ErrorKind.OVERLOADED: Answer(503, Ran.NO, Retry.LATER),
--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -9,9 +9,15 @@
 import collections.abc
 import contextvars
 import enum
+import functools
+import socket
 import typing
 
+import aiohappyeyeballs
 import aiohttp
+from aiohttp import client_proto
+from aiohttp import http_parser
+from aiohttp import streams
 import yarl
 
 from filbertstep import errors
@@ -28,6 +34,29 @@
 # Connections of one process to one backend server.
 MAX_CONNECTIONS: typing.Final = 64
 
+# Time limit in seconds of a TCP connection to a backend server, which takes
+# milliseconds.  Nothing was sent, so the request can go elsewhere.
+CONNECT_S: typing.Final = 0.4
+
+# Time in milliseconds after which the kernel gives up on sent bytes that are
+# not acknowledged.  Kept connections can go silent without a reset.
+UNACKNOWLEDGED_MS: typing.Final = 1500
+
+REQUEST_ID_HEADER: typing.Final = 'X-Request-Id'
+
+
+class Names(typing.NamedTuple):
+    """How backend servers spell what they say about a request.
+
+    A server that did not run a request says so by ``not_run_header`` with
+    one of ``not_run_values``, any value if there are none.  ``unframed`` accepts
+    answers that end with their connection.
+    """
+
+    not_run_header: str = 'X-Not-Run'
+    not_run_values: frozenset[str] = frozenset({'true'})
+    unframed: bool = False
+
 OnSending = collections.abc.Callable[[], errors.Failure | None]
 """Called when a connection exists; a failure stops the request as not run."""
 
@@ -99,8 +128,11 @@
 class Sending:
     """State of one try while it runs."""
 
-    def __init__(self, on_sending: OnSending, deadline: float) -> None:
+    def __init__(
+        self, on_sending: OnSending, deadline: float, request_id: str
+    ) -> None:
         self.on_sending = on_sending
+        self.request_id = request_id
         # Time of the event loop at which the try ends.
         self.deadline = deadline
         self.sent = False
@@ -129,9 +161,46 @@
 )
 
 
+class MatchingProtocol(client_proto.ResponseHandler):
+    """Skips answers to earlier requests of a kept connection.
+
+    A faulty server answers twice.  The second answer arrives where that to
+    the next request is due; the request id tells them apart.
+    """
+
+    expected_id: str | None = None
+
+    async def read(
+        self,
+    ) -> tuple[http_parser.RawResponseMessage, streams.StreamReader]:
+        """Return the next answer that can belong to the request."""
+        while True:
+            message, payload = await super().read()
+            echoed = message.headers.get(REQUEST_ID_HEADER)
+            if self.expected_id is None or echoed in (None, self.expected_id):
+                return message, payload
+            await payload.read()
+
+
+def open_socket(address: aiohappyeyeballs.AddrInfoType) -> socket.socket:
+    """Return a socket whose sent bytes must be acknowledged in time."""
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+    )
+    return opened
+
+
 class AskingConnector(aiohttp.TCPConnector):
     """Asks the running try for permission once it has a connection."""
 
+    def skip_foreign_answers(self) -> None:
+        """Use ``MatchingProtocol``; aiohttp has no public way to set it."""
+        self._factory = functools.partial(  # type: ignore[assignment]
+            MatchingProtocol, loop=self._loop
+        )
+
     async def connect(
         self,
         req: aiohttp.ClientRequest,
@@ -149,6 +218,8 @@
             try:
                 sending.permit(req)
                 sending.transport = connection.transport
+                if isinstance(connection.protocol, MatchingProtocol):
+                    connection.protocol.expected_id = sending.request_id
             except BaseException:
                 connection.release()
                 raise
@@ -202,8 +273,15 @@
 class Forwarder:
     """Sends requests to backend servers over kept connections."""
 
-    def __init__(self, connections: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        connections: int = MAX_CONNECTIONS,
+        names: Names | None = None,
+        skip_foreign_answers: bool = False,
+    ) -> None:
         self.connections = connections
+        self.names = Names() if names is None else names
+        self.skip_foreign_answers = skip_foreign_answers
         self.session: aiohttp.ClientSession | None = None
         self.running: dict[str, Sending] = {}
         self.streams: dict[str, AnswerStream] = {}
@@ -211,15 +289,21 @@
     def start(self) -> aiohttp.ClientSession:
         """Return the session, which needs a running event loop."""
         if self.session is None:
+            connector = AskingConnector(
+                limit=0,
+                limit_per_host=self.connections,
+                keepalive_timeout=KEEPALIVE_S,
+                socket_factory=open_socket,
+            )
+            if self.skip_foreign_answers:
+                connector.skip_foreign_answers()
             self.session = aiohttp.ClientSession(
-                connector=AskingConnector(
-                    limit=0,
-                    limit_per_host=self.connections,
-                    keepalive_timeout=KEEPALIVE_S,
-                ),
+                connector=connector,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
-                timeout=aiohttp.ClientTimeout(total=None),
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=CONNECT_S
+                ),
                 skip_auto_headers=(
                     'User-Agent',
                     'Accept',
@@ -259,7 +343,11 @@
         learns that the work is no longer wanted.
         """
         loop = asyncio.get_running_loop()
-        sending = Sending(on_sending, loop.time() + attempt.time_left_s)
+        sending = Sending(
+            on_sending,
+            loop.time() + attempt.time_left_s,
+            attempt.request_id,
+        )
         token = SENDING.set(sending)
         self.running[attempt.request_id] = sending
         try:
@@ -337,12 +425,12 @@
             return Outcome(
                 OutcomeKind.MISMATCHED, True, message='answer of another'
             )
-        if not bounded(attempt.method, response):
+        if not self.names.unframed and not bounded(attempt.method, response):
             response.close()
             return lost(sending, 'the end of the answer is not marked')
         pieces, complete = await read_pieces(response)
         kind = OutcomeKind.ANSWERED
-        if response.headers.get('X-Not-Run', '').lower() == 'true':
+        if says_not_run(self.names, response):
             kind = OutcomeKind.SHED
         if not complete and kind is OutcomeKind.ANSWERED:
             stream = AnswerStream(
@@ -366,6 +454,14 @@
     return Outcome(kind, sending.sent, status=sending.status, message=message)
 
 
+def says_not_run(names: Names, response: aiohttp.ClientResponse) -> bool:
+    """Tell whether the server says that it did not run the request."""
+    said = response.headers.get(names.not_run_header)
+    if said is None:
+        return False
+    return not names.not_run_values or said.lower() in names.not_run_values
+
+
 def bounded(method: str, response: aiohttp.ClientResponse) -> bool:
     """Tell whether an answer says where it ends.
 
--- a/filbertstep/delivery.py
+++ b/filbertstep/delivery.py
@@ -4,6 +4,7 @@
 from filbertstep._forward import Attempt as Attempt
 from filbertstep._forward import BrokenAnswerError as BrokenAnswerError
 from filbertstep._forward import Forwarder as Forwarder
+from filbertstep._forward import Names as Names
 from filbertstep._forward import OnSending as OnSending
 from filbertstep._forward import Outcome as Outcome
 from filbertstep._forward import OutcomeKind as OutcomeKind
--- /dev/null
+++ b/filbertstep/entry/_callers.py
@@ -0,0 +1,296 @@
+"""HTTP listeners of the entry program, by aiohttp's low-level server."""
+
+import asyncio
+import functools
+import traceback
+import typing
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from filbertstep import clock
+from filbertstep import delivery
+from filbertstep import errors
+from filbertstep import steering
+from filbertstep.entry import _contracts
+from filbertstep.entry import _requests
+from filbertstep.entry import _state
+
+# Bytes of one header or request line that the parser takes; the bound of the
+# configuration is checked on the whole head.
+PARSER_BYTES: typing.Final = 64 * 1024
+
+# Idle time in seconds after which a caller's connection is closed.  Callers
+# use connections that were idle for up to four fifths of the configured
+# limit, so this must exceed any limit that operators set.
+KEEPALIVE_S: typing.Final = 75.0
+
+# Time in seconds that a look-up's answer holds.  Short, because a VM that
+# leaves must stay until callers have asked again.
+LOOKUP_TTL_S: typing.Final = 1.0
+
+# Length of an answer's head that is built here, for headers of the request
+# whose sum is bounded: name, value, separators.
+SEPARATORS: typing.Final = 4
+
+
+def server(handler: typing.Any, body_bytes: int = 1 << 40) -> web.Server:
+    """Return an HTTP server; Any: aiohttp's handler type is private."""
+    return web.Server(
+        handler,
+        request_factory=functools.partial(make_request, body_bytes),
+        access_log=None,
+        handler_cancellation=True,
+        auto_decompress=False,
+        keepalive_timeout=KEEPALIVE_S,
+        max_line_size=PARSER_BYTES,
+        max_field_size=PARSER_BYTES,
+        lingering_time=1.0,
+    )
+
+
+def make_request(
+    body_bytes: int, *parts: typing.Any
+) -> web.BaseRequest:
+    """Return aiohttp's request; the body's bound is checked by the handler.
+
+    Any: the parts are aiohttp's and go on to it unchanged.
+    """
+    message, payload, protocol, writer, task = parts
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=body_bytes,
+    )
+
+
+class CallerListener:
+    """Takes callers' requests; ``stopping`` closes connections politely."""
+
+    def __init__(
+        self,
+        system: _requests.RequestSystem,
+        state: _state.State,
+        dialect: _contracts.Dialect,
+        time_source: clock.Clock,
+    ) -> None:
+        self.system = system
+        self.state = state
+        self.dialect = dialect
+        self.clock = time_source
+        self.stopping = False
+        self.running = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        arrived = self.clock.now()
+        self.running += 1
+        try:
+            refused = self.over_limits(request)
+            if refused is not None:
+                return await self.send(request, refused)
+            call = self.read_call(request, arrived)
+            work = asyncio.ensure_future(
+                self.system.serve(call, functools.partial(read, request))
+            )
+            try:
+                reply = await asyncio.shield(work)
+            except asyncio.CancelledError:
+                self.caller_left(call, work)
+                raise
+            except Exception as error:
+                # The text of an unforeseen exception may hold a key.
+                self.system.log.write(
+                    'internal_error',
+                    id=call.request_id,
+                    type=type(error).__name__,
+                    trace=traceback.format_tb(error.__traceback__)[-3:],
+                )
+                reply = _requests.failed(
+                    errors.ErrorKind.INTERNAL, 'internal error'
+                )
+            return await self.send(request, reply)
+        finally:
+            self.running -= 1
+
+    def caller_left(
+        self, call: _requests.Call, work: asyncio.Future[_requests.Reply]
+    ) -> None:
+        """End the work for a caller who has closed the connection.
+
+        A non-idempotent request that a server has may be half done; it runs
+        to its end, so that the operator's books agree with the server's.
+        """
+        if not self.system.at_server_once(call.request_id):
+            work.cancel()
+
+    def over_limits(
+        self, request: web.BaseRequest
+    ) -> _requests.Reply | None:
+        """Refuse a head or body beyond the configured bounds."""
+        configuration = self.state.configuration
+        limits = configuration.limits if (
+            configuration
+        ) else steering.Limits()
+        head = len(request.raw_path) + sum(
+            len(name) + len(value) + SEPARATORS
+            for name, value in request.raw_headers
+        )
+        if head > limits.head_bytes:
+            return _requests.failed(
+                errors.ErrorKind.HEAD_TOO_LARGE, 'the head is too large'
+            )
+        length = request.content_length
+        if length is not None and length > limits.body_bytes:
+            return _requests.failed(
+                errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
+            )
+        return None
+
+    def read_call(
+        self, request: web.BaseRequest, arrived: float
+    ) -> _requests.Call:
+        """Return what the request asks for."""
+        dialect, headers = self.dialect, request.headers
+        wait_s = _requests.DEFAULT_DEADLINE_S
+        told = headers.get(dialect.deadline_header, '')
+        if told.isdigit():
+            wait_s = int(told) / 1000
+        scheme, _, key = headers.get(dialect.key_header, '').partition(' ')
+        known_scheme = scheme.lower() == dialect.key_scheme.lower()
+        return _requests.Call(
+            request_id=headers.get(dialect.request_id_header, ''),
+            method=request.method,
+            host=headers.get('Host', ''),
+            path=request.raw_path,
+            headers=tuple(
+                (str(name), value) for name, value in headers.items()
+            ),
+            key=key.strip() if known_scheme else None,
+            thing=request.cookies.get(dialect.thing_cookie, ''),
+            arrived=arrived,
+            deadline=arrived + wait_s,
+        )
+
+    async def send(
+        self, request: web.BaseRequest, reply: _requests.Reply
+    ) -> web.StreamResponse:
+        """Write an answer; a cut stream ends the connection."""
+        if reply.failure is not None:
+            reply = self.failure_reply(request, reply.failure)
+        response: web.StreamResponse
+        if reply.stream is None:
+            response = web.Response(status=reply.status, body=reply.body)
+        else:
+            response = web.StreamResponse(status=reply.status)
+        for name, value in reply.headers:
+            if name.lower() == 'content-type':
+                response.headers[name] = value
+            else:
+                response.headers.add(name, value)
+        if self.stopping:
+            response.force_close()
+        if reply.stream is None:
+            return response
+        await response.prepare(request)
+        try:
+            async for piece in reply.stream:
+                await response.write(piece)
+        except delivery.BrokenAnswerError:
+            # Without the end of the chunks, the caller sees that it is cut.
+            if request.transport is not None:
+                request.transport.abort()
+            raise
+        await response.write_eof()
+        return response
+
+    def failure_reply(
+        self, request: web.BaseRequest, failure: errors.Failure
+    ) -> _requests.Reply:
+        """Return the answer for a failure of this system."""
+        headers = [
+            ('Content-Type', 'application/json'),
+            ('X-Error-Kind', failure.kind.value),
+        ]
+        request_id = request.headers.get(self.dialect.request_id_header)
+        if request_id is not None:
+            headers.append((self.dialect.request_id_header, request_id))
+        if failure.retry_after_s is not None:
+            headers.append(
+                (
+                    self.dialect.retry_after_header,
+                    f'{failure.retry_after_s:g}',
+                )
+            )
+        return _requests.Reply(
+            errors.ANSWERS[failure.kind].status,
+            tuple(headers),
+            msgspec.json.encode(errors.error_body(failure)),
+        )
+
+
+async def read(request: web.BaseRequest) -> bytes:
+    """Read a request's body; a caller that breaks off ends the work."""
+    try:
+        return await request.read()
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise asyncio.CancelledError from error
+
+
+class LookupListener:
+    """Tells callers where to connect, and the platform whether to."""
+
+    def __init__(
+        self,
+        state: _state.State,
+        own: steering.Member,
+        dialect: _contracts.Dialect,
+        callers: CallerListener,
+        time_source: clock.Clock,
+    ) -> None:
+        self.state = state
+        self.own = own
+        self.dialect = dialect
+        self.callers = callers
+        self.clock = time_source
+
+    async def handle_lookup(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answer a look-up; 503 while no VM is known."""
+        if request.path != self.dialect.lookup_path:
+            return web.Response(status=404)
+        lookup = self.dialect.read_lookup(request.query)
+        if lookup is None:
+            return web.Response(status=400)
+        members = dict(self.state.members.live)
+        if self.callers.stopping:
+            members.pop(self.own.vm, None)
+        named = steering.nearest(
+            members.values(), lookup.region, lookup.availability_zone
+        )
+        if not named:
+            return web.Response(status=503)
+        ttl_s = min(LOOKUP_TTL_S, self.state.settings.bounds.lookup_ttl_s)
+        body = self.dialect.lookup_answer(
+            [member.callers for member in named], ttl_s
+        )
+        return web.Response(
+            body=msgspec.json.encode(body), content_type='application/json'
+        )
+
+    async def handle_ready(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Tell whether this VM takes callers' requests."""
+        if request.path != self.dialect.ready_path:
+            return web.Response(status=404)
+        ready = not self.callers.stopping and self.state.ready(
+            self.clock.now()
+        )
+        return web.Response(status=200 if ready else 503)
--- /dev/null
+++ b/filbertstep/entry/_log.py
@@ -0,0 +1,113 @@
+"""Structured log lines on standard output.
+
+Each line is one JSON object.  A line is written for each decision on a request
+and each change of what the process believes.  The volume is bounded per kind
+of line, and the process never waits for the reader: lines that do not fit are
+dropped and counted.
+"""
+
+import os
+import typing
+
+import logbook
+import msgspec
+
+from filbertstep import clock
+
+# Bytes that wait for the reader of standard output at most.
+MOST_PENDING: typing.Final = 256 * 1024
+
+# Seconds of a kind's budget of lines that can be saved up.
+BURST_S: typing.Final = 2.0
+
+Field = str | int | float | bool | None | list[str]
+
+
+class Budget:
+    """Tokens for the lines of one kind, and how many were left out."""
+
+    def __init__(self, tokens: float, now: float) -> None:
+        self.tokens = tokens
+        self.updated = now
+        self.left_out = 0
+
+
+class PipeHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes to a descriptor that may be full; logbook is untyped."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__(level=logbook.DEBUG, bubble=False)
+        self.descriptor = descriptor
+        self.pending = bytearray()
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a line; it is dropped when the reader is too slow."""
+        line = record.message.encode() + b'\n'
+        if len(self.pending) + len(line) > MOST_PENDING:
+            self.dropped += 1
+            return
+        self.pending += line
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self.pending:
+            try:
+                written = os.write(self.descriptor, self.pending[:65536])
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is no other place to log to.
+                self.dropped += self.pending.count(b'\n')
+                self.pending.clear()
+                return
+            del self.pending[:written]
+
+
+class DecisionLog:
+    """Lines of one process, with a budget for each kind."""
+
+    def __init__(
+        self,
+        vm: str,
+        lines_per_s: float,
+        time_source: clock.Clock,
+        handler: PipeHandler,
+    ) -> None:
+        self.vm = vm
+        self.lines_per_s = lines_per_s
+        self.clock = time_source
+        self.handler = handler
+        self.logger = logbook.Logger('filbertstep')
+        self.budgets: dict[str, Budget] = {}
+        handler.push_application()
+
+    def write(self, kind: str, **fields: Field) -> None:
+        """Write a line unless its kind's budget is spent."""
+        now = self.clock.now()
+        budget = self.budgets.get(kind)
+        most = self.lines_per_s * BURST_S
+        if budget is None:
+            budget = self.budgets[kind] = Budget(most, now)
+        budget.tokens = min(
+            most, budget.tokens + (now - budget.updated) * self.lines_per_s
+        )
+        budget.updated = now
+        if budget.tokens < 1.0:
+            budget.left_out += 1
+            return
+        budget.tokens -= 1.0
+        row: dict[str, Field] = {
+            'at': round(now, 4),
+            'vm': self.vm,
+            'kind': kind,
+            **fields,
+        }
+        if budget.left_out:
+            row['left_out'], budget.left_out = budget.left_out, 0
+        self.logger.info(msgspec.json.encode(row).decode())
+
+    def flush(self) -> None:
+        """Write what waits."""
+        self.handler.flush()
--- /dev/null
+++ b/filbertstep/entry/_membership.py
@@ -0,0 +1,198 @@
+"""Registers this VM in the store and keeps the list of its peers.
+
+A VM has two keys.  ``vms/NAME`` lives under a lease and names the VM in
+look-ups.  ``fleet/NAME`` stays when the lease ends: it counts the VM among
+those that may still spend their part of rates and retries, until its knowledge
+has certainly lapsed.
+"""
+
+import asyncio
+import typing
+
+import msgspec
+import result
+
+from filbertstep import clock
+from filbertstep import steering
+from filbertstep.entry import _contracts
+from filbertstep.entry import _log
+
+MEMBER_PREFIX: typing.Final = 'vms/'
+FLEET_PREFIX: typing.Final = 'fleet/'
+
+# Lifetime of the lease and time between renewals, in seconds.  A killed VM
+# leaves look-ups after the lifetime at most.
+LEASE_S: typing.Final = 3.0
+RENEWAL_S: typing.Final = 0.9
+
+# Time in seconds between attempts when the store does not take a call.
+RETRY_S: typing.Final = 0.5
+
+# A VM without a lease counts among those that spend for this time in seconds;
+# longer than any bound on the age of knowledge, after which it takes no key.
+SPENDING_S: typing.Final = 12.0
+
+
+class MemberDoc(typing.TypedDict):
+    """Value of ``vms/NAME``."""
+
+    incarnation: str
+    availability_zone: str
+    region: str
+    callers: str
+    peers: str
+    capacity: float
+    lease: int
+
+
+class MemberTable:
+    """Entry VMs by name, as the store lists them."""
+
+    def __init__(self) -> None:
+        self.live: dict[str, steering.Member] = {}
+        # Names of ``fleet/``, with the revision and the time at which the VM
+        # was last seen with a lease.
+        self.fleet: dict[str, tuple[int, float]] = {}
+
+    def take(self, change: _contracts.Change, now: float) -> None:
+        """Take a change of one of the two keys of a VM."""
+        if change.key.startswith(MEMBER_PREFIX):
+            name = change.key[len(MEMBER_PREFIX) :]
+            member = decode(name, change.value)
+            if member is None:
+                self.live.pop(name, None)
+            else:
+                self.live[name] = member
+            if name in self.fleet:
+                self.fleet[name] = (self.fleet[name][0], now)
+        elif change.key.startswith(FLEET_PREFIX):
+            name = change.key[len(FLEET_PREFIX) :]
+            if change.value is None:
+                self.fleet.pop(name, None)
+            else:
+                self.fleet[name] = (change.revision, now)
+
+    def parts(self, own: str) -> int:
+        """Return the number of VMs that may spend, this one included."""
+        return len(self.fleet.keys() | self.live.keys() | {own})
+
+    def departed(self, now: float) -> list[tuple[str, int]]:
+        """Return VMs that no longer spend, with their keys' revisions."""
+        return [
+            (name, revision)
+            for name, (revision, seen) in self.fleet.items()
+            if name not in self.live and now - seen > SPENDING_S
+        ]
+
+
+def decode(name: str, value: bytes | None) -> steering.Member | None:
+    """Return the row of a VM's key, None when it has none."""
+    if value is None:
+        return None
+    try:
+        doc = msgspec.json.decode(value, type=MemberDoc)
+    except msgspec.DecodeError:
+        return None
+    return steering.Member(
+        vm=name,
+        incarnation=doc['incarnation'],
+        availability_zone=doc['availability_zone'],
+        region=doc['region'],
+        callers=doc['callers'],
+        peers=doc['peers'],
+        capacity=doc['capacity'],
+        lease=doc['lease'],
+    )
+
+
+class Registration:
+    """Keeps this VM's keys in the store while it serves.
+
+    ``lease`` is 0 while there is none.  A lease that a peer renews for this
+    VM counts as kept (see ``_sync``).
+    """
+
+    def __init__(
+        self,
+        store: _contracts.WatchedStore,
+        own: steering.Member,
+        table: MemberTable,
+        time_source: clock.Clock,
+        log: _log.DecisionLog,
+    ) -> None:
+        self.store = store
+        self.own = own
+        self.table = table
+        self.clock = time_source
+        self.log = log
+        self.lease = 0
+        self.counted = False
+        self.registered = False
+        self.stopping = False
+
+    async def run(self) -> None:
+        """Register, renew, and register again after a lost lease."""
+        while not self.stopping:
+            kept = await (self.renew() if self.lease else self.register())
+            if kept:
+                await self.sweep()
+            await asyncio.sleep(RENEWAL_S if kept else RETRY_S)
+
+    async def register(self) -> bool:
+        """Write this VM's keys under a new lease."""
+        granted = await self.store.grant_lease(LEASE_S)
+        if isinstance(granted, result.Err) or self.stopping:
+            return False
+        lease = granted.ok_value
+        doc: MemberDoc = {
+            'incarnation': self.own.incarnation,
+            'availability_zone': self.own.availability_zone,
+            'region': self.own.region,
+            'callers': self.own.callers,
+            'peers': self.own.peers,
+            'capacity': self.own.capacity,
+            'lease': lease,
+        }
+        key = MEMBER_PREFIX + self.own.vm
+        if not self.counted:
+            counted = await self.store.write({FLEET_PREFIX + self.own.vm: b''})
+            if isinstance(counted, result.Err):
+                return False
+            self.counted = True
+        written = await self.store.write(
+            {key: msgspec.json.encode(doc)}, lease=lease
+        )
+        if isinstance(written, result.Err):
+            return False
+        self.lease = lease
+        self.registered = True
+        self.log.write('registered', lease=lease)
+        return True
+
+    async def renew(self) -> bool:
+        """Renew the lease; a lost one leads to a new registration."""
+        kept = await self.store.keep_lease(self.lease)
+        if isinstance(kept, result.Ok):
+            return True
+        if kept.err_value is _contracts.StoreFault.LEASE_GONE:
+            self.log.write('lease_lost', lease=self.lease)
+            self.lease = 0
+            self.counted = self.own.vm in self.table.fleet
+        return False
+
+    async def sweep(self) -> None:
+        """Remove the counting keys of VMs that departed long ago.
+
+        Only the first live VM by name does so.
+        """
+        if min(self.table.live, default='') != self.own.vm:
+            return
+        for name, revision in self.table.departed(self.clock.now()):
+            await self.store.delete_unchanged(FLEET_PREFIX + name, revision)
+            self.log.write('departed_vm_removed', name=name)
+
+    async def leave(self) -> None:
+        """Leave look-ups; callers' next answers do not name this VM."""
+        self.stopping = True
+        if self.lease:
+            await self.store.end_lease(self.lease)
--- /dev/null
+++ b/filbertstep/entry/_peers.py
@@ -0,0 +1,186 @@
+"""What entry VMs ask each other: relayed knowledge and spare tokens."""
+
+import asyncio
+import typing
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from filbertstep import clock
+from filbertstep import steering
+from filbertstep.entry import _contracts
+from filbertstep.entry import _log
+from filbertstep.entry import _state
+from filbertstep.entry import _sync
+
+TOKENS_PATH: typing.Final = '/tokens'
+
+# Time limit in seconds of a question for tokens.
+TOKENS_LIMIT_S: typing.Final = 0.3
+
+# Peers that are asked for tokens at once, and the time in seconds for which
+# no further question follows a vain one.
+TOKEN_PEERS: typing.Final = 3
+VAIN_S: typing.Final = 0.4
+
+
+class TokensDoc(typing.TypedDict):
+    """Tokens of an account: those wanted, or those given."""
+
+    account: str
+    tokens: float
+
+
+class PeerListener:
+    """Answers peers."""
+
+    def __init__(
+        self,
+        state: _state.State,
+        sync: _sync.Sync,
+        store: _contracts.WatchedStore,
+        time_source: clock.Clock,
+    ) -> None:
+        self.state = state
+        self.sync = sync
+        self.store = store
+        self.clock = time_source
+        self.keeping: set[asyncio.Task[object]] = set()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one question."""
+        if request.path == _sync.KNOWLEDGE_PATH:
+            return self.knowledge(request)
+        if request.path == TOKENS_PATH:
+            return self.tokens(await request.read())
+        return web.Response(status=404)
+
+    def knowledge(self, request: web.BaseRequest) -> web.Response:
+        """Relay what is known, and keep the asker's lease for it."""
+        after = request.query.get('after', '')
+        doc = self.sync.answer(int(after) if after.isdigit() else 0)
+        if doc is None:
+            return web.Response(status=503)
+        lease = request.query.get('lease', '')
+        if lease.isdigit() and int(lease) > 0:
+            task: asyncio.Task[object] = asyncio.ensure_future(
+                self.store.keep_lease(int(lease))
+            )
+            self.keeping.add(task)
+            task.add_done_callback(self.keeping.discard)
+        return web.Response(
+            body=msgspec.json.encode(doc), content_type='application/json'
+        )
+
+    def tokens(self, body: bytes) -> web.Response:
+        """Give spare tokens of an account to a peer."""
+        try:
+            doc = msgspec.json.decode(body, type=TokensDoc)
+        except msgspec.DecodeError:
+            return web.Response(status=400)
+        configuration = self.state.configuration
+        account = (
+            configuration.accounts.get(doc['account'])
+            if configuration
+            else None
+        )
+        given = 0.0
+        if account is not None:
+            given = self.state.quotas.donate(
+                account, doc['tokens'], self.clock.now()
+            )
+        answer: TokensDoc = {'account': doc['account'], 'tokens': given}
+        return web.Response(
+            body=msgspec.json.encode(answer), content_type='application/json'
+        )
+
+
+class TokenAsker:
+    """Asks peers for tokens, one question at a time for each account."""
+
+    def __init__(
+        self,
+        state: _state.State,
+        session: aiohttp.ClientSession,
+        time_source: clock.Clock,
+        log: _log.DecisionLog,
+    ) -> None:
+        self.state = state
+        self.session = session
+        self.clock = time_source
+        self.log = log
+        self.asking: dict[str, asyncio.Task[float]] = {}
+        self.vain_until: dict[str, float] = {}
+        self.turn = 0
+
+    async def ask(self, account: steering.ClientAccount) -> float:
+        """Return the tokens that arrived; later calls share the question."""
+        if self.clock.now() < self.vain_until.get(account.name, 0.0):
+            return 0.0
+        running = self.asking.get(account.name)
+        if running is None:
+            running = asyncio.ensure_future(self.ask_some(account))
+            self.asking[account.name] = running
+            running.add_done_callback(
+                lambda _: self.asking.pop(account.name, None)
+            )
+        return await asyncio.shield(running)
+
+    async def ask_some(self, account: steering.ClientAccount) -> float:
+        """Ask a few peers, others each time."""
+        own = self.state.settings.vm
+        region = self.state.settings.region
+        rows = [
+            member
+            for member in self.state.members.live.values()
+            if member.vm != own
+        ]
+        near = [row.peers for row in rows if row.region == region]
+        far = [row.peers for row in rows if row.region != region]
+        # Bytes between regions are scarce; every other question goes there.
+        peers = near if near and self.turn % 2 == 0 else far or near
+        self.turn += 1
+        if not peers:
+            return 0.0
+        count = min(TOKEN_PEERS, len(peers))
+        chosen = [
+            peers[(self.turn + step) % len(peers)] for step in range(count)
+        ]
+        wanted = self.state.quotas.wanted(account)
+        given = await asyncio.gather(
+            *(self.ask_one(peer, account.name, wanted) for peer in chosen)
+        )
+        total = sum(given)
+        self.state.quotas.receive(account, total, self.clock.now())
+        if total < 1.0:
+            self.vain_until[account.name] = self.clock.now() + VAIN_S
+        self.log.write(
+            'tokens', account=account.name, wanted=wanted, given=total
+        )
+        return total
+
+    async def ask_one(self, peer: str, account: str, wanted: float) -> float:
+        """Return the tokens that a peer gave."""
+        doc: TokensDoc = {'account': account, 'tokens': wanted}
+        try:
+            async with self.session.post(
+                f'http://{peer}{TOKENS_PATH}',
+                data=msgspec.json.encode(doc),
+                timeout=aiohttp.ClientTimeout(total=TOKENS_LIMIT_S),
+            ) as response:
+                if response.status != 200:
+                    return 0.0
+                body = await response.read()
+            answer = msgspec.json.decode(body, type=TokensDoc)
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            msgspec.DecodeError,
+        ) as error:
+            self.log.write(
+                'tokens_failed', peer=peer, error=type(error).__name__
+            )
+            return 0.0
+        return max(0.0, min(answer['tokens'], wanted))
--- /dev/null
+++ b/filbertstep/entry/_program.py
@@ -0,0 +1,273 @@
+"""Starts, reloads and stops the entry program."""
+
+import asyncio
+import contextlib
+import gc
+import os
+import signal
+import sys
+import typing
+import uuid
+
+import aiohttp
+from aiohttp import web
+import result
+import uvloop
+
+from filbertstep import _command_line
+from filbertstep import clock
+from filbertstep import delivery
+from filbertstep import metrics
+from filbertstep import steering
+from filbertstep.entry import _callers
+from filbertstep.entry import _contracts
+from filbertstep.entry import _log
+from filbertstep.entry import _membership
+from filbertstep.entry import _peers
+from filbertstep.entry import _requests
+from filbertstep.entry import _state
+from filbertstep.entry import _sync
+
+# Time in seconds between runs of the systems that work by time.
+TICK_S: typing.Final = 0.05
+
+# Time in seconds between looks at the settings file, which may change
+# without a signal.
+SETTINGS_EVERY_S: typing.Final = 1.0
+
+# Part of the time allowed for a stop for which new requests are taken:
+# callers use an old look-up for up to three times its lifetime.
+TAKING_SHARE: typing.Final = 0.55
+
+# Part of the time allowed for a stop after which the process ends whatever
+# still runs.
+ENDING_SHARE: typing.Final = 0.97
+
+# Longest queue of connections that the kernel accepts for a listener.
+BACKLOG: typing.Final = 1024
+
+
+class Program:
+    """One process."""
+
+    def __init__(
+        self,
+        platform: _contracts.Platform,
+        settings: _contracts.EntrySettings,
+    ) -> None:
+        self.platform = platform
+        self.settings = settings
+        self.clock = clock.SystemClock()
+        self.log = _log.DecisionLog(
+            settings.vm,
+            settings.log_lines_per_s,
+            self.clock,
+            _log.PipeHandler(sys.stdout.fileno()),
+        )
+        self.counters = metrics.Metrics()
+        self.stop = asyncio.Event()
+        dialect = platform.dialect()
+        self.state = _state.State(
+            settings, platform.decoder(), self.clock, self.log
+        )
+        self.own = steering.Member(
+            vm=settings.vm,
+            incarnation=uuid.uuid4().hex,
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+            callers=settings.callers,
+            peers=settings.peers,
+            capacity=settings.capacity,
+            lease=0,
+        )
+        self.session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar()
+        )
+        self.store = platform.open_store(settings)
+        self.registration = _membership.Registration(
+            self.store, self.own, self.state.members, self.clock, self.log
+        )
+        self.sync = _sync.Sync(
+            self.store,
+            self.state.knowledge,
+            self.state.members,
+            self.registration,
+            settings.seeds,
+            self.session,
+            self.clock,
+            self.log,
+        )
+        self.forwarder = delivery.Forwarder(
+            names=delivery.Names(
+                not_run_header=dialect.not_run_header,
+                not_run_values=frozenset(),
+                unframed=True,
+            ),
+            skip_foreign_answers=True,
+        )
+        asker = _peers.TokenAsker(
+            self.state, self.session, self.clock, self.log
+        )
+        self.requests = _requests.RequestSystem(
+            self.state,
+            self.forwarder,
+            dialect,
+            self.counters,
+            self.log,
+            asker.ask,
+        )
+        self.callers = _callers.CallerListener(
+            self.requests, self.state, dialect, self.clock
+        )
+        self.lookups = _callers.LookupListener(
+            self.state, self.own, dialect, self.callers, self.clock
+        )
+        self.peers = _peers.PeerListener(
+            self.state, self.sync, self.store, self.clock
+        )
+        self.listeners: list[asyncio.Server] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop.set)
+        loop.add_signal_handler(signal.SIGINT, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, 'signal')
+        for work in (
+            self.sync.run_store(),
+            self.sync.run_relay(),
+            self.registration.run(),
+            self.tick(),
+            self.watch_settings(),
+        ):
+            self.tasks.append(asyncio.ensure_future(work))
+        settings = self.settings
+        caller_server = _callers.server(self.callers.handle)
+        for address, server in (
+            (settings.callers, caller_server),
+            (settings.lookups, _callers.server(self.lookups.handle_lookup)),
+            (settings.ready, _callers.server(self.lookups.handle_ready)),
+            (settings.peers, _callers.server(self.peers.handle)),
+            (
+                f'{settings.host}:{settings.metrics_port}',
+                _callers.server(self.metrics),
+            ),
+        ):
+            await self.listen(address, server)
+        # Objects that live as long as the process need no further scans.
+        gc.freeze()
+        self.log.write('start', pid=os.getpid(), **start_fields(settings))
+        self.log.flush()
+        await self.stop.wait()
+        await self.shut_down(caller_server)
+
+    async def listen(self, address: str, server: web.Server) -> None:
+        """Open one listener."""
+        host, _, port = address.rpartition(':')
+        self.listeners.append(
+            await asyncio.get_running_loop().create_server(
+                server, host, int(port), backlog=BACKLOG
+            )
+        )
+
+    async def metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve the counters."""
+        age = self.state.knowledge.age(self.clock.now())
+        self.counters.evidence_age.set(age)
+        self.counters.head_index.set(self.state.knowledge.revision)
+        return web.Response(
+            body=self.counters.render(),
+            headers={'Content-Type': 'text/plain; version=0.0.4'},
+        )
+
+    async def tick(self) -> None:
+        """Run the systems that work by time."""
+        while True:
+            now = self.clock.now()
+            self.state.regions.tick(now)
+            for service in list(self.state.waiting.waiters):
+                self.state.waiting.run(service, now)
+            self.log.flush()
+            await asyncio.sleep(TICK_S)
+
+    async def watch_settings(self) -> None:
+        """Reload the settings when their file has changed."""
+        while True:
+            await asyncio.sleep(SETTINGS_EVERY_S)
+            self.reload('file')
+
+    def reload(self, reason: str) -> None:
+        """Read the settings again; only the bounds can change in a run."""
+        loaded = self.platform.load_settings()
+        if isinstance(loaded, result.Err):
+            self.log.write('reload_failed', error=loaded.err_value)
+            return
+        settings = loaded.ok_value
+        if settings == self.settings:
+            if reason == 'signal':
+                self.log.write('reload', reason=reason, changed=False)
+            return
+        self.settings = settings
+        self.state.settings = settings
+        self.state.placement.bounds = settings.bounds
+        self.state.retries.bounds = settings.bounds
+        self.state.quotas.bounds = settings.bounds
+        self.state.regions.bounds = settings.bounds
+        self.state.servers.regions = settings.regions
+        self.log.write('reload', reason=reason, changed=True)
+
+    async def shut_down(self, caller_server: web.Server) -> None:
+        """Leave look-ups, serve what still comes, and end."""
+        started = self.clock.now()
+        bound_s = self.settings.bounds.stop_s
+        self.callers.stopping = True
+        self.log.write('stop', running=self.callers.running)
+        leaving = asyncio.ensure_future(self.registration.leave())
+        await asyncio.sleep(TAKING_SHARE * bound_s)
+        for listener in self.listeners:
+            listener.close()
+        ends = started + ENDING_SHARE * bound_s
+        while self.callers.running and self.clock.now() < ends:
+            await asyncio.sleep(TICK_S)
+        self.log.write('stopped', running=self.callers.running)
+        # Closes idle connections; what runs has had its time.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await caller_server.shutdown(0.05)
+        for task in [*self.tasks, leaving]:
+            task.cancel()
+        self.log.flush()
+
+
+def start_fields(
+    settings: _contracts.EntrySettings,
+) -> dict[str, _log.Field]:
+    """Return what the line about the start tells of the settings."""
+    return {
+        'availability_zone': settings.availability_zone,
+        'callers': settings.callers,
+        'peers': settings.peers,
+        'first_start': settings.first_start,
+    }
+
+
+def run(
+    name: str, platform: _contracts.Platform, check_settings: bool
+) -> int:
+    """Serve until stopped; return the exit code."""
+    loaded = platform.load_settings()
+    if isinstance(loaded, result.Err):
+        return _command_line.fail(name, loaded.err_value)
+    if check_settings:
+        print(f'{name}: the settings are correct')
+        return _command_line.EXIT_OK
+    settings = loaded.ok_value
+
+    async def serve() -> None:
+        await Program(platform, settings).run()
+
+    uvloop.run(serve())
+    # Ends at once: connections that still close would only take time.
+    sys.stdout.flush()
+    os._exit(_command_line.EXIT_OK)
--- /dev/null
+++ b/filbertstep/entry/_sync.py
@@ -0,0 +1,250 @@
+"""Keeps the knowledge of the store fresh, by own reads or by peers' relays."""
+
+import asyncio
+import base64
+import random
+import typing
+
+import aiohttp
+import msgspec
+import result
+
+from filbertstep import clock
+from filbertstep.entry import _contracts
+from filbertstep.entry import _knowledge
+from filbertstep.entry import _log
+from filbertstep.entry import _membership
+
+# Longest wait in seconds of one watch.  Each answer, empty or not, confirms
+# that the knowledge was newest when the watch was sent.
+WATCH_S: typing.Final = 1.2
+
+# Least time in seconds between two watches, so that frequent changes come
+# several to an answer.  Well below the bound on applying a change.
+WATCH_GAP_S: typing.Final = 0.3
+
+# First and longest time in seconds between attempts after a failure.
+FIRST_RETRY_S: typing.Final = 0.2
+LONGEST_RETRY_S: typing.Final = 1.5
+
+# Age in seconds of the knowledge from which a VM asks peers to relay.
+RELAY_AFTER_S: typing.Final = 2.2
+
+# Time in seconds between questions to a relay, and the limit of one.
+RELAY_EVERY_S: typing.Final = 0.6
+RELAY_LIMIT_S: typing.Final = 0.8
+
+# Knowledge older than this in seconds is not relayed.
+RELAYED_AGE_S: typing.Final = 3.0
+
+KNOWLEDGE_PATH: typing.Final = '/knowledge'
+
+
+class ChangeDoc(typing.TypedDict):
+    """A change on the way between peers; ``value`` is base64 or null."""
+
+    key: str
+    revision: int
+    value: str | None
+
+
+class KnowledgeDoc(typing.TypedDict):
+    """Answer of a relay; ``age_s`` is the age of what it knows."""
+
+    age_s: float
+    revision: int
+    partial: bool
+    changes: list[ChangeDoc]
+
+
+class Sync:
+    """Reads the store, or asks peers while the store does not answer."""
+
+    def __init__(
+        self,
+        store: _contracts.WatchedStore,
+        table: _knowledge.KnowledgeTable,
+        members: _membership.MemberTable,
+        registration: _membership.Registration,
+        seeds: tuple[str, ...],
+        session: aiohttp.ClientSession,
+        time_source: clock.Clock,
+        log: _log.DecisionLog,
+    ) -> None:
+        self.store = store
+        self.table = table
+        self.members = members
+        self.registration = registration
+        self.seeds = seeds
+        self.session = session
+        self.clock = time_source
+        self.log = log
+        self.connected = False
+        self.retry_s = FIRST_RETRY_S
+        self.whole = False
+        self.relay = ''
+
+    async def run_store(self) -> None:
+        """Read the whole content once, then its changes, for ever."""
+        while True:
+            started = self.clock.now()
+            fault = await self.read()
+            if fault is None:
+                self.note_connected(True)
+                self.retry_s = FIRST_RETRY_S
+                left = WATCH_GAP_S - (self.clock.now() - started)
+                await asyncio.sleep(max(0.0, left))
+                continue
+            if fault is _contracts.StoreFault.HISTORY_GONE:
+                self.whole = False
+            self.note_connected(False, fault)
+            await asyncio.sleep(self.retry_s * random.uniform(0.5, 1.0))
+            self.retry_s = min(LONGEST_RETRY_S, self.retry_s * 2.0)
+
+    async def read(self) -> _contracts.StoreFault | None:
+        """Do one read; return its fault."""
+        sent_at = self.clock.now()
+        if not self.whole:
+            listed = await self.store.list('')
+            if isinstance(listed, result.Err):
+                return listed.err_value
+            self.whole = True
+            self.table.replace(listed.ok_value, sent_at, self.clock.now())
+            return None
+        watched = await self.store.watch('', self.table.revision, WATCH_S)
+        if isinstance(watched, result.Err):
+            return watched.err_value
+        self.table.apply(watched.ok_value, sent_at, self.clock.now())
+        return None
+
+    def note_connected(
+        self, connected: bool, fault: _contracts.StoreFault | None = None
+    ) -> None:
+        """Log that the store was lost or regained."""
+        if connected == self.connected:
+            return
+        self.connected = connected
+        self.log.write(
+            'store_regained' if connected else 'store_lost',
+            fault=None if fault is None else fault.value,
+            revision=self.table.revision,
+            age_s=self.age_field(),
+        )
+
+    def age_field(self) -> float | None:
+        """Return the age of the knowledge for a log line."""
+        age = self.table.age(self.clock.now())
+        return None if age == float('inf') else round(age, 3)
+
+    async def run_relay(self) -> None:
+        """Ask peers whenever the knowledge grows old."""
+        while True:
+            now = self.clock.now()
+            self.table.release(now)
+            if self.table.age(now) > RELAY_AFTER_S:
+                await self.ask_peers()
+            elif self.relay and self.connected:
+                self.log.write('relay_ended', peer=self.relay)
+                self.relay = ''
+            await asyncio.sleep(
+                RELAY_EVERY_S if self.relay else RELAY_EVERY_S / 2
+            )
+
+    def relays(self) -> list[str]:
+        """Return peers to ask, the nearest first."""
+        own = self.registration.own
+        rows = [row for row in self.members.live.values() if row.vm != own.vm]
+        rows.sort(
+            key=lambda row: (
+                row.peers != self.relay,
+                row.availability_zone != own.availability_zone,
+                row.region != own.region,
+                row.vm,
+            )
+        )
+        addresses = [row.peers for row in rows]
+        addresses += [seed for seed in self.seeds if seed not in addresses]
+        return [address for address in addresses if address != own.peers]
+
+    async def ask_peers(self) -> None:
+        """Take the knowledge of the first peer that has any fresh."""
+        for address in self.relays():
+            if await self.ask(address):
+                if self.relay != address:
+                    self.log.write(
+                        'relay_started', peer=address, age_s=self.age_field()
+                    )
+                self.relay = address
+                return
+        self.relay = ''
+
+    async def ask(self, address: str) -> bool:
+        """Take one peer's knowledge; return whether it was fresher."""
+        sent_at = self.clock.now()
+        after = self.table.revision
+        params = {
+            'after': str(after),
+            'lease': str(self.registration.lease),
+        }
+        try:
+            async with self.session.get(
+                f'http://{address}{KNOWLEDGE_PATH}',
+                params=params,
+                timeout=aiohttp.ClientTimeout(total=RELAY_LIMIT_S),
+            ) as response:
+                if response.status != 200:
+                    return False
+                body = await response.read()
+            doc = msgspec.json.decode(body, type=KnowledgeDoc)
+            changes = tuple(
+                _contracts.Change(
+                    row['key'],
+                    row['revision'],
+                    None
+                    if row['value'] is None
+                    else base64.b64decode(row['value']),
+                )
+                for row in doc['changes']
+            )
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self.log.write(
+                'relay_failed', peer=address, error=type(error).__name__
+            )
+            return False
+        except (msgspec.DecodeError, ValueError) as error:
+            self.log.write(
+                'relay_unreadable', peer=address, error=type(error).__name__
+            )
+            return False
+        fresh_at = sent_at - doc['age_s']
+        if fresh_at <= self.table.fresh_at:
+            return False
+        listing = _contracts.Listing(changes, doc['revision'])
+        now = self.clock.now()
+        if doc['partial']:
+            self.table.apply(listing, fresh_at, now)
+        else:
+            self.table.replace(listing, fresh_at, now)
+        return True
+
+    def answer(self, after: int) -> KnowledgeDoc | None:
+        """Return this VM's knowledge for a peer, None when it is too old."""
+        age = self.table.age(self.clock.now())
+        if age > RELAYED_AGE_S:
+            return None
+        changes, partial = self.table.since(after)
+        return {
+            'age_s': age,
+            'revision': self.table.revision,
+            'partial': partial,
+            'changes': [
+                {
+                    'key': change.key,
+                    'revision': change.revision,
+                    'value': None
+                    if change.value is None
+                    else base64.b64encode(change.value).decode(),
+                }
+                for change in changes
+            ],
+        }
--- /dev/null
+++ b/filbertstep/platform/__main__.py
@@ -0,0 +1,5 @@
+"""Allows ``python -m filbertstep.platform``."""
+
+from filbertstep import platform
+
+platform.main()
--- /dev/null
+++ b/filbertstep/platform/_adapter.py
@@ -0,0 +1,74 @@
+"""Joins the parts of the adapter."""
+
+import collections.abc
+
+import aiohttp
+import result
+
+from filbertstep import entry
+from filbertstep.platform import _documents
+from filbertstep.platform import _settings
+from filbertstep.platform import _store
+
+
+class UsersDialect(entry.Dialect):
+    """Headers and calls of the platform's callers and servers."""
+
+    lookup_path = '/filbertstep/resolve'
+    ready_path = '/filbertstep/ready'
+    request_id_header = 'X-Request-Id'
+    deadline_header = 'X-Deadline-Ms'
+    key_header = 'Authorization'
+    key_scheme = 'Bearer'
+    account_header = 'X-Tenant'
+    expected_server_header = 'X-Expect-Instance'
+    not_run_header = 'X-Not-Executed'
+    seal_header = 'X-Server-Seal'
+    load_header = 'X-Server-Load'
+    retry_after_header = 'Retry-After'
+    thing_cookie = 'X-Affinity-Key'
+
+    def read_lookup(
+        self, query: collections.abc.Mapping[str, str]
+    ) -> entry.Lookup | None:
+        """Return a look-up's question, None when it lacks something."""
+        region, zone = query.get('region', ''), query.get('zone', '')
+        if not region or not zone:
+            return None
+        return entry.Lookup(region=region, availability_zone=zone)
+
+    def lookup_answer(
+        self, addresses: collections.abc.Sequence[str], ttl_s: float
+    ) -> dict[str, object]:
+        """Return the JSON body of a look-up's answer."""
+        return {'addresses': list(addresses), 'ttl_s': ttl_s}
+
+
+class UsersPlatform(entry.Platform):
+    """The users' platform; ``path`` is that of the settings file."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+
+    def load_settings(self) -> result.Result[entry.EntrySettings, str]:
+        """Read and check the settings file as it is now."""
+        return _settings.load(self.path)
+
+    def open_store(self, settings: entry.EntrySettings) -> entry.WatchedStore:
+        """Return a client of the store; needs a running event loop."""
+        return _store.UsersStore(
+            f'http://{settings.store}',
+            aiohttp.ClientSession(
+                cookie_jar=aiohttp.DummyCookieJar(),
+                connector=aiohttp.TCPConnector(keepalive_timeout=30.0),
+            ),
+            settings.least_lease_s,
+        )
+
+    def decoder(self) -> entry.Decoder:
+        """Return the decoder of the store's documents."""
+        return _documents.UsersDecoder()
+
+    def dialect(self) -> entry.Dialect:
+        """Return the names on the wire."""
+        return UsersDialect()
--- /dev/null
+++ b/filbertstep/platform/_program.py
@@ -0,0 +1,37 @@
+"""The program that a VM of the platform starts."""
+
+import os
+import sys
+import typing
+
+from filbertstep import _command_line
+from filbertstep import entry
+from filbertstep.platform import _adapter
+
+NAME: typing.Final = 'filbertstep-entry'
+
+# Variable that holds the path of the settings file.
+SETTINGS_VARIABLE: typing.Final = 'FILBERTSTEP_NODE_FILE'
+
+
+@_command_line.deferred
+def serve(settings: str = '', check_settings: bool = False) -> int:
+    """Serve callers on this VM.
+
+    Args:
+        settings: path of the settings file; by default the one that the
+            platform names in the environment.
+        check_settings: check the settings file and stop.
+    """
+    path = settings or os.environ.get(SETTINGS_VARIABLE, '')
+    if not path:
+        return _command_line.fail(
+            NAME, f'no --settings given and {SETTINGS_VARIABLE} is not set'
+        )
+    return entry.run(NAME, _adapter.UsersPlatform(path), check_settings)
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    _command_line.run(NAME, serve)
+    sys.exit(0)
--- /dev/null
+++ b/filbertstep/platform/_settings.py
@@ -0,0 +1,114 @@
+"""Checks the settings file that ``deploy/settings.json5`` is rendered to."""
+
+import pathlib
+import typing
+
+import msgspec
+import result
+
+from filbertstep import codec
+from filbertstep import entry
+from filbertstep import steering
+
+
+class BoundsDoc(typing.TypedDict):
+    """Bounds of the deployment, in the platform's units (see the names)."""
+
+    drain_ms: float
+    grace_s: float
+    config_apply_ms: float
+    revoke_ms: float
+    budget_ratio: float
+    budget_window_s: float
+    budget_slack: float
+    cold_over: float
+    cold_slack: float
+    ttl_max_s: float
+    shift_most: float
+    quota_over: float
+    quota_slack: float
+
+
+class SettingsDoc(typing.TypedDict):
+    """The rendered settings file.  Addresses are ``host:port``."""
+
+    vm: str
+    host: str
+    availability_zone: str
+    region: str
+    callers: str
+    ready: str
+    peers: str
+    lookups: str
+    metrics_port: int
+    seeds: list[str]
+    regions: dict[str, str]
+    store: str
+    least_lease_ms: float
+    first_start: bool
+    link_mbps: float
+    log_lines_per_s: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(gt=0)]
+    ]
+    bounds: BoundsDoc
+
+
+# Log lines per second and kind where the settings do not say.
+LOG_LINES_PER_S: typing.Final = 200.0
+
+
+def load(path: str) -> result.Result[entry.EntrySettings, str]:
+    """Read and check a settings file."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err(f'cannot read settings file {path}: {error}')
+    return parse(text)
+
+
+def parse(text: str) -> result.Result[entry.EntrySettings, str]:
+    """Check the text of a settings file; the error names the field."""
+    decoded = codec.decode_with_comments(text, SettingsDoc)
+    if isinstance(decoded, result.Err):
+        return decoded
+    doc = decoded.ok_value
+    for field in ('callers', 'ready', 'peers', 'lookups', 'store'):
+        host, _, port = str(doc[field]).rpartition(':')
+        if not host or not port.isdigit():
+            return result.Err(f'host:port expected - at `$.{field}`')
+    bounds = doc['bounds']
+    return result.Ok(
+        entry.EntrySettings(
+            vm=doc['vm'],
+            host=doc['host'],
+            availability_zone=doc['availability_zone'],
+            region=doc['region'],
+            callers=doc['callers'],
+            ready=doc['ready'],
+            peers=doc['peers'],
+            lookups=doc['lookups'],
+            metrics_port=doc['metrics_port'],
+            seeds=tuple(doc['seeds']),
+            regions=doc['regions'],
+            store=doc['store'],
+            least_lease_s=doc['least_lease_ms'] / 1000,
+            first_start=doc['first_start'],
+            capacity=doc['link_mbps'],
+            log_lines_per_s=doc.get('log_lines_per_s', LOG_LINES_PER_S),
+            bounds=steering.Bounds(
+                drain_s=bounds['drain_ms'] / 1000,
+                stop_s=bounds['grace_s'],
+                config_s=bounds['config_apply_ms'] / 1000,
+                key_withdrawal_s=bounds['revoke_ms'] / 1000,
+                retry_ratio=bounds['budget_ratio'],
+                retry_window_s=bounds['budget_window_s'],
+                retry_slack=bounds['budget_slack'],
+                cold_factor=bounds['cold_over'],
+                cold_slack=bounds['cold_slack'],
+                lookup_ttl_s=bounds['ttl_max_s'],
+                shift_share=bounds['shift_most'],
+                rate_over=bounds['quota_over'],
+                rate_slack=bounds['quota_slack'],
+            ),
+        )
+    )
--- /dev/null
+++ b/filbertstep/steering/_placement.py
@@ -0,0 +1,241 @@
+"""Chooses the backend server of a request.
+
+The choice minimizes the estimated time to the answer: the network, the wait
+for a slot, and the run, which is several times shorter on a server that
+handled the same object recently.  Equal estimates are decided by rendezvous
+rank, so that all VMs send a new object to the same server of a zone.
+"""
+
+import collections.abc
+import typing
+
+from filbertstep.steering import _model
+from filbertstep.steering import _routes
+from filbertstep.steering import _servers
+
+# Estimated one-way and return time in seconds within a zone, between zones of
+# a region, and between regions, with a charge for the bytes that cross.
+SAME_ZONE_S: typing.Final = 0.001
+SAME_REGION_S: typing.Final = 0.06
+OTHER_REGION_S: typing.Final = 0.15
+
+# Estimated extra time in seconds for each place further down in the
+# rendezvous order.
+RANK_S: typing.Final = 0.02
+
+# Servers of a group that are considered beside the warm ones.
+RANKED_SERVERS: typing.Final = 4
+
+# Time in seconds without a request after which a server gets the next one
+# for which it ranks first.
+UNUSED_S: typing.Final = 1.0
+
+# Weight of one answer in a route's moving averages of run times.
+RUN_WEIGHT: typing.Final = 0.05
+
+# Run times that are assumed before any answer, relative to the target.
+FIRST_COLD_RUN: typing.Final = 1.5
+FIRST_WARM_RUN: typing.Final = 0.5
+
+# Requests that may be at a server beyond its slots, so that none idles for
+# the length of the way back from another region.
+EXTRA_OTHER_REGION: typing.Final = 1
+
+
+class RunTimes:
+    """Moving averages of a route's run times in seconds."""
+
+    def __init__(self, target_s: float) -> None:
+        self.cold_s = FIRST_COLD_RUN * target_s
+        self.warm_s = FIRST_WARM_RUN * target_s
+
+    def expected(self, warm: bool) -> float:
+        """Return the run time on an idle server of usual speed."""
+        return self.warm_s if warm else self.cold_s
+
+    def note(self, warm: bool, run_s: float) -> None:
+        """Count an answer."""
+        if warm:
+            self.warm_s += RUN_WEIGHT * (run_s - self.warm_s)
+        else:
+            self.cold_s += RUN_WEIGHT * (run_s - self.cold_s)
+
+
+class Question(typing.NamedTuple):
+    """A request to be placed.
+
+    ``thing`` names the object that the request concerns, empty for none.
+    ``homes`` None or empty allows all regions.  ``tried`` holds the ids of
+    servers that had the request before.  ``region`` limits the choice to one
+    region, None to none.
+    """
+
+    route: _model.Route
+    service: str
+    thing: str
+    homes: frozenset[str] | None
+    tried: frozenset[str] = frozenset()
+    region: str | None = None
+
+
+class Candidate(typing.NamedTuple):
+    """A server with the estimated seconds until it has answered.
+
+    ``start_s`` is the estimated wait for a slot, ``run_s`` the run.
+    ``free`` tells whether the request may be sent now.
+    """
+
+    row: _servers.ServerRow
+    estimate_s: float
+    start_s: float
+    run_s: float
+    warm: bool
+    free: bool
+
+
+class Placement:
+    """Places requests of one VM."""
+
+    def __init__(
+        self,
+        table: _servers.ServerTable,
+        region: str,
+        availability_zone: str,
+        bounds: _model.Bounds,
+    ) -> None:
+        self.table = table
+        self.region = region
+        self.availability_zone = availability_zone
+        self.bounds = bounds
+        self.run_times: dict[str, RunTimes] = {}
+        self.services: collections.abc.Mapping[str, _model.Service] = {}
+        # VMs by availability zone, which share the bound of a cold server.
+        self.vms_in_zone: collections.abc.Mapping[str, int] = {}
+
+    def times(self, route: _model.Route) -> RunTimes:
+        """Return the run times of a route."""
+        known = self.run_times.get(route.name)
+        if known is None:
+            known = self.run_times[route.name] = RunTimes(route.target_s)
+        return known
+
+    def network_s(self, row: _servers.ServerRow) -> float:
+        """Return the estimated cost of the way to a server and back."""
+        if row.entry.availability_zone == self.availability_zone:
+            return SAME_ZONE_S
+        return SAME_REGION_S if row.region == self.region else OTHER_REGION_S
+
+    def candidates(
+        self, question: Question, now: float
+    ) -> list[_servers.ServerRow]:
+        """Return the warm servers and the first few of each group."""
+        groups: dict[float, list[_servers.ServerRow]] = {}
+        for row in self.table.usable(question.service, question.homes):
+            if row.entry.server_id in question.tried:
+                continue
+            if question.region is None or row.region == question.region:
+                groups.setdefault(self.network_s(row), []).append(row)
+        chosen = []
+        for rows in groups.values():
+            rows.sort(
+                key=lambda row: _routes.rank(
+                    row.entry.server_id, question.thing
+                ),
+                reverse=True,
+            )
+            ready = [
+                row
+                for row in rows
+                if now >= row.paused_until and self.cold_allows(row, now)
+            ]
+            chosen += ready[:RANKED_SERVERS]
+            chosen += [
+                row
+                for row in ready[RANKED_SERVERS:]
+                if question.thing and row.is_warm(question.thing, now)
+            ]
+        return chosen
+
+    def best(self, question: Question, now: float) -> Candidate | None:
+        """Return the server with the least estimate, None without any."""
+        best: Candidate | None = None
+        places: dict[float, int] = {}
+        for row in self.candidates(question, now):
+            network_s = self.network_s(row)
+            place = places.get(network_s, 0)
+            places[network_s] = place + 1
+            found = self.estimate(row, question, network_s, now)
+            found = found._replace(
+                estimate_s=found.estimate_s + place * RANK_S
+            )
+            if place == 0 and found.free and self.unused(row, now):
+                return found
+            if best is None or found.estimate_s < best.estimate_s:
+                best = found
+        return best
+
+    def unused(self, row: _servers.ServerRow, now: float) -> bool:
+        """Tell whether a server of this zone lacks the objects it should have.
+
+        It joined, or was away, and the others are warm for all objects.
+        Without requests for which it ranks first it would stay unused.
+        """
+        return (
+            row.entry.availability_zone == self.availability_zone
+            and now - row.last_sent > UNUSED_S
+        )
+
+    def estimate(
+        self,
+        row: _servers.ServerRow,
+        question: Question,
+        network_s: float,
+        now: float,
+    ) -> Candidate:
+        """Return the estimate for one server."""
+        times = self.times(question.route)
+        warm = bool(question.thing) and row.is_warm(question.thing, now)
+        run_s = times.expected(warm) * row.slowness
+        slots = max(1, row.entry.slots)
+        limit = slots
+        if network_s >= OTHER_REGION_S:
+            limit += EXTRA_OTHER_REGION
+        occupied = row.occupied(now)
+        ahead = occupied + row.awaited
+        start_s = 0.0
+        if ahead >= slots:
+            start_s = (ahead - slots + 1) * times.warm_s * row.slowness / slots
+        # A failing server costs the time of the repeat on top.
+        risk_s = row.failures * times.cold_s
+        return Candidate(
+            row,
+            network_s + start_s + run_s + risk_s,
+            start_s,
+            run_s,
+            warm,
+            ahead < limit,
+        )
+
+    def cold_allows(self, row: _servers.ServerRow, now: float) -> bool:
+        """Tell whether a cold server may get a request from this VM.
+
+        The VMs of the server's zone share its bound equally, others send
+        nothing until it is warm.  Only where the zone has no VM, those of
+        all zones share it.
+        """
+        if not row.cold(now):
+            return True
+        service = self.services.get(row.entry.service)
+        if service is None or service.cold_per_s <= 0:
+            return True
+        zone = row.entry.availability_zone
+        sharing = self.vms_in_zone.get(zone, 0)
+        if sharing:
+            if zone != self.availability_zone:
+                return False
+        else:
+            sharing = max(1, sum(self.vms_in_zone.values()))
+        # Keeps to the server's own rate: the slack of the bound is for what
+        # VMs send that do not know yet that the server is cold.
+        rate = service.cold_per_s * self.bounds.cold_factor
+        return now - row.cold_sent >= sharing / rate
--- /dev/null
+++ b/filbertstep/steering/_regions.py
@@ -0,0 +1,207 @@
+"""Which region serves a request, kept steady from one moment to the next.
+
+A region with less room than its callers need sends a part of its requests to
+other regions.  That part changes slowly: a quick move of traffic meets servers
+that have none of its objects at hand, and overloads links.  Requests with few
+bytes for their run time move first, because bytes between regions are scarce.
+
+Requests are dealt by counting and not at random, so that the part that moves
+is kept in short windows too.
+"""
+
+import collections
+import collections.abc
+import typing
+
+from filbertstep.steering import _model
+from filbertstep.steering import _servers
+
+# Share of the bound on shifts that slow changes of the split may use, and
+# that requests may use which find no room where the split sends them.
+SPLIT_SHARE: typing.Final = 0.4
+OVERFLOW_SHARE: typing.Final = 0.25
+
+# Window in seconds in which the bound on shifts counts.
+WINDOW_S: typing.Final = 2.0
+
+# Time in seconds between two adjustments of a split.
+ADJUST_S: typing.Final = 0.5
+
+# Load of a region's slots above which more requests leave it, and below which
+# they return.  The gap keeps the split from swinging.
+HIGH_LOAD: typing.Final = 0.85
+LOW_LOAD: typing.Final = 0.55
+
+# Other regions must be this much less loaded to get more.
+MARGIN: typing.Final = 0.15
+
+# Load of all slots together that is assumed before anything was measured.
+FIRST_LOAD: typing.Final = 0.55
+
+# Weight of one measurement in the moving averages of load, and of one answer
+# in those of a route's bytes.
+LOAD_WEIGHT: typing.Final = 0.4
+BYTES_WEIGHT: typing.Final = 0.05
+
+# Requests by which dealing may lag behind the split to wait for one that is
+# cheap to move.
+LAG: typing.Final = 2.0
+
+
+class ServiceSplit:
+    """Split of one service's requests that start in this VM's region."""
+
+    def __init__(self, moved: float, now: float) -> None:
+        self.moved = moved
+        self.credit = 0.0
+        self.adjusted = now
+        self.loads: dict[str, float] = {}
+        self.region_credit: dict[str, float] = {}
+        # Times of recent requests, and of those that overflowed.
+        self.requests: collections.deque[float] = collections.deque()
+        self.overflows: collections.deque[float] = collections.deque()
+
+    def prune(self, now: float) -> None:
+        """Forget requests before the window."""
+        for times in (self.requests, self.overflows):
+            while times and times[0] < now - WINDOW_S:
+                times.popleft()
+
+
+class RegionSystem:
+    """Splits the requests of this VM's callers over regions."""
+
+    def __init__(
+        self,
+        table: _servers.ServerTable,
+        region: str,
+        bounds: _model.Bounds,
+    ) -> None:
+        self.table = table
+        self.region = region
+        self.bounds = bounds
+        self.splits: dict[str, ServiceSplit] = {}
+        # Moving averages by route of bytes for a second of run time.
+        self.density: dict[str, float] = {}
+
+    def slots(self, service: str) -> dict[str, int]:
+        """Return the usable slots of a service by region."""
+        found: dict[str, int] = {}
+        for row in self.table.usable(service, None):
+            found[row.region] = found.get(row.region, 0) + row.entry.slots
+        return found
+
+    def split(self, service: str, now: float) -> ServiceSplit:
+        """Return a service's split, at first from the slots alone."""
+        known = self.splits.get(service)
+        if known is None:
+            known = ServiceSplit(self.first_moved(service), now)
+            self.splits[service] = known
+        return known
+
+    def first_moved(self, service: str) -> float:
+        """Return the part that moves if all regions have equal demand."""
+        slots = self.slots(service)
+        total = sum(slots.values())
+        if not total:
+            return 0.0
+        fair = total / len(set(self.table.regions.values()))
+        return max(0.0, 1.0 - slots.get(self.region, 0) / fair / FIRST_LOAD)
+
+    def note_bytes(self, route: str, size: int, run_s: float) -> None:
+        """Count an answer's bytes against its run time."""
+        found = size / max(0.001, run_s)
+        known = self.density.get(route, found)
+        self.density[route] = known + BYTES_WEIGHT * (found - known)
+
+    def choose(
+        self, route: _model.Route, service: str, now: float
+    ) -> str:
+        """Return the region of a request that may go anywhere."""
+        split = self.split(service, now)
+        split.prune(now)
+        split.requests.append(now)
+        split.credit += split.moved
+        if split.credit < 1.0:
+            return self.region
+        if split.credit < LAG and not self.cheap(route):
+            return self.region
+        other = self.other(service, split)
+        if other is None:
+            split.credit = min(split.credit, LAG)
+            return self.region
+        split.credit -= 1.0
+        return other
+
+    def cheap(self, route: _model.Route) -> bool:
+        """Tell whether no other route moves fewer bytes for its run time."""
+        own = self.density.get(route.name)
+        return own is None or own <= min(self.density.values()) * 1.5
+
+    def other(self, service: str, split: ServiceSplit) -> str | None:
+        """Return another region, in proportion to its idle slots."""
+        weights = {
+            region: count * max(0.05, 1.0 - split.loads.get(region, 0.0))
+            for region, count in self.slots(service).items()
+            if region != self.region
+        }
+        if not weights:
+            return None
+        total = sum(weights.values())
+        for region, weight in weights.items():
+            known = split.region_credit.get(region, 0.0)
+            split.region_credit[region] = known + weight / total
+        chosen = max(weights, key=lambda name: split.region_credit[name])
+        split.region_credit[chosen] -= 1.0
+        return chosen
+
+    def may_overflow(self, service: str, now: float) -> bool:
+        """Take one request out of the allowance for unplanned moves."""
+        split = self.split(service, now)
+        split.prune(now)
+        most = self.bounds.shift_share * OVERFLOW_SHARE * len(split.requests)
+        if len(split.overflows) + 1 > most:
+            return False
+        split.overflows.append(now)
+        return True
+
+    def tick(self, now: float) -> None:
+        """Measure the regions' load and adjust the splits."""
+        for service, split in self.splits.items():
+            if now - split.adjusted >= ADJUST_S:
+                split.adjusted = now
+                self.measure(service, split, now)
+                self.adjust(split)
+
+    def measure(
+        self, service: str, split: ServiceSplit, now: float
+    ) -> None:
+        """Update the moving averages of the load of each region's slots."""
+        busy: dict[str, float] = {}
+        for row in self.table.usable(service, None):
+            occupied = min(
+                row.entry.slots + 1, row.occupied(now) + row.awaited
+            )
+            busy[row.region] = busy.get(row.region, 0.0) + occupied
+        for region, count in self.slots(service).items():
+            load = busy.get(region, 0.0) / max(1, count)
+            known = split.loads.get(region, load)
+            split.loads[region] = known + LOAD_WEIGHT * (load - known)
+
+    def adjust(self, split: ServiceSplit) -> None:
+        """Move the split one step if the loads ask for it."""
+        own = split.loads.get(self.region)
+        if own is None:
+            return
+        others = [
+            load
+            for region, load in split.loads.items()
+            if region != self.region
+        ]
+        if not others:
+            return
+        step = self.bounds.shift_share * SPLIT_SHARE * ADJUST_S / WINDOW_S
+        if own > HIGH_LOAD and min(others) < own - MARGIN:
+            split.moved = min(1.0, split.moved + step)
+        elif own < LOW_LOAD:
+            split.moved = max(0.0, split.moved - step)
