--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -181,6 +181,18 @@
                 return message, payload
             await payload.read()
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer without a length when the connection was reset.
+
+        The parser takes any end of the connection for the end of the answer.
+        """
+        if exc is not None and self._payload is not None:
+            if not self._payload.is_eof():
+                self._payload.set_exception(
+                    aiohttp.ClientPayloadError('connection reset')
+                )
+        super().connection_lost(exc)
+
 
 def open_socket(address: aiohappyeyeballs.AddrInfoType) -> socket.socket:
     """Return a socket whose sent bytes must be acknowledged in time."""
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -432,6 +432,8 @@
             estimate_s=round(candidate.estimate_s, 3),
             took_s=round(took_s, 3),
             in_progress=row.in_progress,
+            others=round(row.others_now(now), 2),
+            load=headers.get(self.dialect.load_header.lower()),
             outcome=outcome.kind.name.lower(),
             status=outcome.status,
             message=outcome.message,
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -203,7 +203,7 @@
         occupied = row.occupied(now)
         ahead = occupied + row.awaited
         start_s = 0.0
-        if ahead >= slots:
+        if ahead > slots - 0.5:
             start_s = (ahead - slots + 1) * times.warm_s * row.slowness / slots
         # A failing server costs the time of the repeat on top.
         risk_s = row.failures * times.cold_s
@@ -213,7 +213,7 @@
             start_s,
             run_s,
             warm,
-            ahead < limit,
+            ahead <= limit - 0.5,
         )
 
     def cold_allows(self, row: _servers.ServerRow, now: float) -> bool:
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -56,6 +56,8 @@
         self.credit = 0.0
         self.adjusted = now
         self.loads: dict[str, float] = {}
+        # Parts of the moved requests by region; they sum to 1.
+        self.weights: dict[str, float] = {}
         self.region_credit: dict[str, float] = {}
         # Times of recent requests, and of those that overflowed.
         self.requests: collections.deque[float] = collections.deque()
@@ -139,20 +141,28 @@
         return own is None or own <= min(self.density.values()) * 1.5
 
     def other(self, service: str, split: ServiceSplit) -> str | None:
-        """Return another region, in proportion to its idle slots."""
+        """Return another region, by the weights of the moved requests.
+
+        At first all go to the region with the most slots: each region that
+        is used has to get every object at hand once.
+        """
+        slots = self.slots(service)
+        slots.pop(self.region, None)
+        if not slots:
+            return None
         weights = {
-            region: count * max(0.05, 1.0 - split.loads.get(region, 0.0))
-            for region, count in self.slots(service).items()
-            if region != self.region
+            region: weight
+            for region, weight in split.weights.items()
+            if region in slots
         }
         if not weights:
-            return None
-        total = sum(weights.values())
+            first = max(slots, key=lambda name: (slots[name], name))
+            weights = split.weights = {first: 1.0}
         for region, weight in weights.items():
             known = split.region_credit.get(region, 0.0)
-            split.region_credit[region] = known + weight / total
+            split.region_credit[region] = known + weight
         chosen = max(weights, key=lambda name: split.region_credit[name])
-        split.region_credit[chosen] -= 1.0
+        split.region_credit[chosen] -= sum(weights.values())
         return chosen
 
     def may_overflow(self, service: str, now: float) -> bool:
@@ -205,3 +215,22 @@
             split.moved = min(1.0, split.moved + step)
         elif own < LOW_LOAD:
             split.moved = max(0.0, split.moved - step)
+        self.adjust_weights(split, step)
+
+    def adjust_weights(self, split: ServiceSplit, step: float) -> None:
+        """Move requests from a loaded other region to a less loaded one."""
+        loads = {
+            region: load
+            for region, load in split.loads.items()
+            if region != self.region
+        }
+        used = [region for region in split.weights if region in loads]
+        if not used:
+            return
+        most = max(used, key=lambda name: loads[name])
+        least = min(loads, key=lambda name: loads[name])
+        if loads[most] < HIGH_LOAD or loads[least] > loads[most] - MARGIN:
+            return
+        part = min(step / max(step, split.moved), split.weights[most])
+        split.weights[most] -= part
+        split.weights[least] = split.weights.get(least, 0.0) + part
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -12,13 +12,15 @@
 from filbertstep.steering import _model
 
 # Objects that a server is assumed to have at hand, least recently used out.
-WARM_OBJECTS: typing.Final = 20
+WARM_OBJECTS: typing.Final = 24
 
 # Time in seconds after which an object no longer counts as at hand.
 WARM_S: typing.Final = 60.0
 
-# A reported load is used for this time in seconds.
-REPORT_S: typing.Final = 0.5
+# Time in seconds in which the estimate of other VMs' requests halves without
+# a report, and the weight of one report in it.
+REPORT_HALF_LIFE_S: typing.Final = 1.5
+REPORT_WEIGHT: typing.Final = 0.5
 
 # Weight of one answer in the moving averages of failures and of slowness.
 FAILURE_WEIGHT: typing.Final = 0.25
@@ -50,10 +52,9 @@
         self.cold_sent = float('-inf')
         self.last_sent = float('-inf')
         self.in_progress = 0
-        self.reported = 0
-        self.reported_at = float('-inf')
-        # This VM's requests in progress at the time of the report.
-        self.reported_own = 0
+        # Estimate of other VMs' requests, and when it was made.
+        self.others = 0.0
+        self.others_at = now
         self.warm: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
@@ -64,21 +65,25 @@
         # Requests that wait on this VM for this server.
         self.awaited = 0
 
-    def occupied(self, now: float) -> int:
+    def occupied(self, now: float) -> float:
         """Return the requests that are estimated to be at the server."""
-        if now - self.reported_at > REPORT_S:
-            return self.in_progress
-        others = max(0, self.reported - self.reported_own)
-        return self.in_progress + others
+        return self.in_progress + self.others_now(now)
+
+    def others_now(self, now: float) -> float:
+        """Return the estimate of other VMs' requests, which ages."""
+        age = max(0.0, now - self.others_at)
+        return float(self.others * 0.5 ** (age / REPORT_HALF_LIFE_S))
 
     def note_report(self, running: int, waiting: int, now: float) -> None:
         """Take the load that came with an answer to this VM.
 
-        The answered request itself is no longer in it.
+        The answered request itself is still in it, but no longer among this
+        VM's requests in progress.
         """
-        self.reported = running + waiting
-        self.reported_own = self.in_progress
-        self.reported_at = now
+        others = max(0, running + waiting - 1 - self.in_progress)
+        known = self.others_now(now)
+        self.others = known + REPORT_WEIGHT * (others - known)
+        self.others_at = now
 
     def is_warm(self, name: str, now: float) -> bool:
         """Tell whether the server handled an object recently."""
