--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -185,7 +185,15 @@
         """Run the systems that work by time."""
         while True:
             now = self.clock.now()
-            self.state.regions.tick(now)
+            for service in self.state.regions.tick(now):
+                split = self.state.regions.splits[service]
+                self.log.write(
+                    'split',
+                    service=service,
+                    moved=round(split.moved, 3),
+                    loads=shares(split.loads),
+                    weights=shares(split.weights),
+                )
             for service in list(self.state.waiting.waiters):
                 self.state.waiting.run(service, now)
             self.log.flush()
@@ -240,6 +248,11 @@
         self.log.flush()
 
 
+def shares(values: dict[str, float]) -> list[str]:
+    """Return values by name for a log line."""
+    return [f'{name}={value:.2f}' for name, value in values.items()]
+
+
 def start_fields(
     settings: _contracts.EntrySettings,
 ) -> dict[str, _log.Field]:
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -194,7 +194,9 @@
             homes,
             min(call.deadline, call.arrived + route.timeout_s),
             # Homes leave no choice that could be kept steady.
-            state.regions.choose(route, service, now)
+            state.regions.choose(
+                route, service, call.thing if route.sticky else '', now
+            )
             if homes is None
             else None,
         )
@@ -413,13 +415,18 @@
             times = self.state.placement.times(admitted.route)
             if candidate.start_s == 0.0:
                 expected = times.expected(candidate.warm)
-                row.note_success(took_s / max(0.001, expected))
+                row.note_success(took_s / max(0.001, expected), now)
                 times.note(candidate.warm, took_s / row.slowness)
                 self.state.regions.note_bytes(
-                    admitted.route.name, len(outcome.body), took_s
+                    admitted.service,
+                    admitted.route.name,
+                    len(outcome.body),
+                    took_s,
                 )
             else:
-                row.note_success(row.slowness)
+                row.note_success(row.slowness, now)
+        elif outcome.kind is OutcomeKind.SHED:
+            row.note_shed(now)
         elif outcome.kind is not OutcomeKind.CANCELLED:
             row.note_failure(now, outcome.kind is OutcomeKind.NOT_SENT)
         self.log.write(
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -194,6 +194,7 @@
     ) -> Candidate:
         """Return the estimate for one server."""
         times = self.times(question.route)
+        row.age_experience(now)
         warm = bool(question.thing) and row.is_warm(question.thing, now)
         run_s = times.expected(warm) * row.slowness
         slots = max(1, row.entry.slots)
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -11,9 +11,11 @@
 
 import collections
 import collections.abc
+import math
 import typing
 
 from filbertstep.steering import _model
+from filbertstep.steering import _routes
 from filbertstep.steering import _servers
 
 # Share of the bound on shifts that slow changes of the split may use, and
@@ -43,6 +45,12 @@
 LOAD_WEIGHT: typing.Final = 0.4
 BYTES_WEIGHT: typing.Final = 0.05
 
+# One more than the number of hash values.
+HASHES: typing.Final = 2**64 + 1
+
+# Ratio of bytes for run time up to which routes count as equally cheap.
+CHEAP_RATIO: typing.Final = 1.5
+
 # Requests by which dealing may lag behind the split to wait for one that is
 # cheap to move.
 LAG: typing.Final = 2.0
@@ -83,8 +91,9 @@
         self.region = region
         self.bounds = bounds
         self.splits: dict[str, ServiceSplit] = {}
-        # Moving averages by route of bytes for a second of run time.
-        self.density: dict[str, float] = {}
+        # Moving averages of bytes for a second of run time, by service and
+        # route.
+        self.density: dict[str, dict[str, float]] = {}
 
     def slots(self, service: str) -> dict[str, int]:
         """Return the usable slots of a service by region."""
@@ -110,14 +119,17 @@
         fair = total / len(set(self.table.regions.values()))
         return max(0.0, 1.0 - slots.get(self.region, 0) / fair / FIRST_LOAD)
 
-    def note_bytes(self, route: str, size: int, run_s: float) -> None:
+    def note_bytes(
+        self, service: str, route: str, size: int, run_s: float
+    ) -> None:
         """Count an answer's bytes against its run time."""
         found = size / max(0.001, run_s)
-        known = self.density.get(route, found)
-        self.density[route] = known + BYTES_WEIGHT * (found - known)
+        rows = self.density.setdefault(service, {})
+        known = rows.get(route, found)
+        rows[route] = known + BYTES_WEIGHT * (found - known)
 
     def choose(
-        self, route: _model.Route, service: str, now: float
+        self, route: _model.Route, service: str, thing: str, now: float
     ) -> str:
         """Return the region of a request that may go anywhere."""
         split = self.split(service, now)
@@ -126,43 +138,48 @@
         split.credit += split.moved
         if split.credit < 1.0:
             return self.region
-        if split.credit < LAG and not self.cheap(route):
+        if split.credit < LAG and not self.cheap(route, service):
             return self.region
-        other = self.other(service, split)
+        other = self.other(service, thing, split)
         if other is None:
             split.credit = min(split.credit, LAG)
             return self.region
         split.credit -= 1.0
         return other
 
-    def cheap(self, route: _model.Route) -> bool:
-        """Tell whether no other route moves fewer bytes for its run time."""
-        own = self.density.get(route.name)
-        return own is None or own <= min(self.density.values()) * 1.5
+    def cheap(self, route: _model.Route, service: str) -> bool:
+        """Tell whether no route of the service moves much fewer bytes."""
+        known = self.density.get(service, {})
+        own = known.get(route.name)
+        return own is None or own <= min(known.values()) * CHEAP_RATIO
 
-    def other(self, service: str, split: ServiceSplit) -> str | None:
+    def other(
+        self, service: str, thing: str, split: ServiceSplit
+    ) -> str | None:
         """Return another region, by the weights of the moved requests.
 
-        At first all go to the region with the most slots: each region that
-        is used has to get every object at hand once.
+        An object goes to the same region as long as that keeps to the
+        weights: each region that gets an object has to run it once without
+        having it at hand.
         """
         slots = self.slots(service)
         slots.pop(self.region, None)
         if not slots:
             return None
+        if not split.weights.keys() & slots.keys():
+            split.weights = dict(slots)
         weights = {
-            region: weight
-            for region, weight in split.weights.items()
-            if region in slots
+            region: split.weights.get(region, 0.0) for region in slots
         }
-        if not weights:
-            first = max(slots, key=lambda name: (slots[name], name))
-            weights = split.weights = {first: 1.0}
+        total = sum(weights.values())
         for region, weight in weights.items():
             known = split.region_credit.get(region, 0.0)
-            split.region_credit[region] = known + weight
-        chosen = max(weights, key=lambda name: split.region_credit[name])
-        split.region_credit[chosen] -= sum(weights.values())
+            split.region_credit[region] = known + weight / total
+        chosen = preferred(weights, thing)
+        furthest = max(weights, key=lambda name: split.region_credit[name])
+        if split.region_credit[furthest] > LAG:
+            chosen = furthest
+        split.region_credit[chosen] -= 1.0
         return chosen
 
     def may_overflow(self, service: str, now: float) -> bool:
@@ -175,13 +192,19 @@
         split.overflows.append(now)
         return True
 
-    def tick(self, now: float) -> None:
-        """Measure the regions' load and adjust the splits."""
+    def tick(self, now: float) -> list[str]:
+        """Measure loads and adjust the splits; return services adjusted."""
+        adjusted = []
         for service, split in self.splits.items():
-            if now - split.adjusted >= ADJUST_S:
-                split.adjusted = now
-                self.measure(service, split, now)
-                self.adjust(split)
+            if now - split.adjusted < ADJUST_S:
+                continue
+            split.adjusted = now
+            self.measure(service, split, now)
+            before = split.moved
+            self.adjust(split)
+            if split.moved != before:
+                adjusted.append(service)
+        return adjusted
 
     def measure(
         self, service: str, split: ServiceSplit, now: float
@@ -231,6 +254,27 @@
         least = min(loads, key=lambda name: loads[name])
         if loads[most] < HIGH_LOAD or loads[least] > loads[most] - MARGIN:
             return
-        part = min(step / max(step, split.moved), split.weights[most])
+        total = sum(split.weights.values())
+        part = min(
+            total * step / max(step, split.moved), split.weights[most]
+        )
         split.weights[most] -= part
         split.weights[least] = split.weights.get(least, 0.0) + part
+
+
+def preferred(
+    weights: collections.abc.Mapping[str, float], thing: str
+) -> str:
+    """Return the region of an object, in proportion to the weights.
+
+    Weighted rendezvous hashing: a change of weights moves few objects.
+    """
+    best, highest = '', float('-inf')
+    for region, weight in weights.items():
+        if weight <= 0:
+            continue
+        point = (_routes.rank(region, thing) + 1) / HASHES
+        score = weight / -math.log(point)
+        if score > highest:
+            best, highest = region, score
+    return best
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -26,6 +26,10 @@
 FAILURE_WEIGHT: typing.Final = 0.25
 SLOWNESS_WEIGHT: typing.Final = 0.2
 
+# Time in seconds in which bad experience with a server halves.  A server that
+# is avoided yields no new experience, so the old must lose its weight.
+EXPERIENCE_HALF_LIFE_S: typing.Final = 3.0
+
 # Share of failures above which a server gets trial requests only.
 FAILURE_SHARE: typing.Final = 0.35
 
@@ -58,10 +62,13 @@
         self.warm: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        # Moving averages of failures (0 to 1) and of run times relative to
+        # what was expected, and when they were updated.
         self.failures = 0.0
+        self.slowness = 1.0
+        self.experience_at = now
         self.failures_in_row = 0
         self.paused_until = float('-inf')
-        self.slowness = 1.0
         # Requests that wait on this VM for this server.
         self.awaited = 0
 
@@ -97,23 +104,43 @@
         while len(self.warm) > WARM_OBJECTS:
             self.warm.popitem(last=False)
 
-    def note_success(self, slowness: float) -> None:
+    def age_experience(self, now: float) -> None:
+        """Bring failures and slowness up to a time."""
+        age = max(0.0, now - self.experience_at)
+        kept = 0.5 ** (age / EXPERIENCE_HALF_LIFE_S)
+        self.failures *= kept
+        self.slowness = 1.0 + (self.slowness - 1.0) * kept
+        self.experience_at = now
+
+    def note_success(self, slowness: float, now: float) -> None:
         """Count an answer that took ``slowness`` times what was expected."""
+        self.age_experience(now)
         self.failures -= FAILURE_WEIGHT * self.failures
         self.failures_in_row = 0
         bounded = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, slowness))
         self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
 
+    def note_shed(self, now: float) -> None:
+        """Count a request that the server turned away without running it.
+
+        The server answers and others may fare better there, so it does not
+        pause; its estimate grows by the risk of another try.
+        """
+        self.age_experience(now)
+        self.failures += FAILURE_WEIGHT * (1.0 - self.failures)
+
     def note_failure(self, now: float, unreachable: bool) -> None:
         """Count a failed request; an unreachable server pauses at once."""
+        self.age_experience(now)
         self.failures += FAILURE_WEIGHT * (1.0 - self.failures)
         self.failures_in_row += 1
         if unreachable or self.failures > FAILURE_SHARE:
             pause = FIRST_PAUSE_S * 2.0 ** min(8, self.failures_in_row - 1)
             self.paused_until = now + min(LONGEST_PAUSE_S, pause)
 
-    def note_slow(self, slowness: float) -> None:
+    def note_slow(self, slowness: float, now: float) -> None:
         """Raise the slowness of a server that has not answered yet."""
+        self.age_experience(now)
         bounded = min(MOST_SLOWNESS, slowness)
         if bounded > self.slowness:
             self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
