--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -49,14 +49,15 @@
     """How backend servers spell what they say about a request.
 
     A server that did not run a request says so by ``not_run_header`` with
-    one of ``not_run_values``, any value if there are none.  ``unframed`` accepts
-    answers that end with their connection.
+    one of ``not_run_values``, any value if there are none.  ``unframed``
+    accepts answers that end with their connection.
     """
 
     not_run_header: str = 'X-Not-Run'
     not_run_values: frozenset[str] = frozenset({'true'})
     unframed: bool = False
 
+
 OnSending = collections.abc.Callable[[], errors.Failure | None]
 """Called when a connection exists; a failure stops the request as not run."""
 
--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -50,9 +50,7 @@
     )
 
 
-def make_request(
-    body_bytes: int, *parts: typing.Any
-) -> web.BaseRequest:
+def make_request(body_bytes: int, *parts: typing.Any) -> web.BaseRequest:
     """Return aiohttp's request; the body's bound is checked by the handler.
 
     Any: the parts are aiohttp's and go on to it unchanged.
@@ -129,14 +127,10 @@
         if not self.system.at_server_once(call.request_id):
             work.cancel()
 
-    def over_limits(
-        self, request: web.BaseRequest
-    ) -> _requests.Reply | None:
+    def over_limits(self, request: web.BaseRequest) -> _requests.Reply | None:
         """Refuse a head or body beyond the configured bounds."""
         configuration = self.state.configuration
-        limits = configuration.limits if (
-            configuration
-        ) else steering.Limits()
+        limits = configuration.limits if (configuration) else steering.Limits()
         head = len(request.raw_path) + sum(
             len(name) + len(value) + SEPARATORS
             for name, value in request.raw_headers
--- a/filbertstep/entry/_knowledge.py
+++ b/filbertstep/entry/_knowledge.py
@@ -66,9 +66,7 @@
 
     def confirm(self, fresh_at: float, now: float) -> None:
         """Note that the content was the newest at a time."""
-        if self.fresh_at != float('-inf') and (
-            now - self.fresh_at > OUTAGE_S
-        ):
+        if self.fresh_at != float('-inf') and (now - self.fresh_at > OUTAGE_S):
             self.hold_until = now + HOLD_S
         self.fresh_at = max(self.fresh_at, fresh_at)
 
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -265,9 +265,7 @@
     }
 
 
-def run(
-    name: str, platform: _contracts.Platform, check_settings: bool
-) -> int:
+def run(name: str, platform: _contracts.Platform, check_settings: bool) -> int:
     """Serve until stopped; return the exit code."""
     loaded = platform.load_settings()
     if isinstance(loaded, result.Err):
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -319,7 +319,8 @@
         if question.region is None:
             return best, question
         if best is not None and (
-            best.free or best.start_s < OVERFLOW_SHARE * admitted.route.target_s
+            best.free
+            or best.start_s < OVERFLOW_SHARE * admitted.route.target_s
         ):
             return best, question
         anywhere = question._replace(region=None)
@@ -518,9 +519,9 @@
         """Count and log an answer."""
         took_s = self.clock.now() - call.arrived
         service = admitted.service if admitted else ''
-        account = admitted.account.name if (
-            admitted and admitted.account
-        ) else ''
+        account = (
+            admitted.account.name if (admitted and admitted.account) else ''
+        )
         outcome = reply.failure.kind.value if reply.failure else 'ok'
         if reply.failure is None and reply.status >= 500:
             outcome = 'server_failed'
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -64,9 +64,8 @@
     def may_lapse(self, key: str) -> bool:
         """Tell whether a key disappears when its writer's lease ends."""
         subject = self.decoder.subject(key)
-        return (
-            subject.kind is _contracts.SubjectKind.SERVER
-            or key.startswith(_membership.MEMBER_PREFIX)
+        return subject.kind is _contracts.SubjectKind.SERVER or key.startswith(
+            _membership.MEMBER_PREFIX
         )
 
     def take(self, change: _contracts.Change) -> None:
@@ -143,7 +142,9 @@
             self.log.write(
                 'server',
                 server=subject.name,
-                service=fact.service if fact else known.entry.service
+                service=fact.service
+                if fact
+                else known.entry.service
                 if known
                 else None,
                 draining=after,
@@ -156,9 +157,9 @@
     ) -> None:
         """Begin or end the evacuation of an availability zone."""
         if fact is None:
-            services = self.configuration.services if (
-                self.configuration
-            ) else {}
+            services = (
+                self.configuration.services if (self.configuration) else {}
+            )
             self.servers.take_back(subject.name, self.clock.now(), services)
         else:
             self.servers.evacuate(subject.name)
--- a/filbertstep/platform/_documents.py
+++ b/filbertstep/platform/_documents.py
@@ -130,9 +130,7 @@
 Decoded = typing.TypeVar('Decoded')
 
 
-def read(
-    value: bytes, shape: type[Decoded]
-) -> result.Result[Decoded, str]:
+def read(value: bytes, shape: type[Decoded]) -> result.Result[Decoded, str]:
     """Decode a document; unknown fields are ignored."""
     try:
         return result.Ok(msgspec.json.decode(value, type=shape))
@@ -155,9 +153,7 @@
                 return entry.Subject(kind, key[len(prefix) :])
         return entry.Subject(entry.SubjectKind.OTHER, key)
 
-    def decode(
-        self, key: str, value: bytes
-    ) -> result.Result[entry.Fact, str]:
+    def decode(self, key: str, value: bytes) -> result.Result[entry.Fact, str]:
         """Return the row of a value, or why it cannot be read."""
         subject = self.subject(key)
         if subject.kind is entry.SubjectKind.CONFIGURATION:
@@ -169,9 +165,7 @@
         )
 
 
-def server(
-    server_id: str, doc: ServerDoc
-) -> result.Result[entry.Fact, str]:
+def server(server_id: str, doc: ServerDoc) -> result.Result[entry.Fact, str]:
     """Return the row of a server's entry."""
     draining = DRAINING.get(doc['status']['state'])
     if draining is None:
--- a/filbertstep/steering/__init__.py
+++ b/filbertstep/steering/__init__.py
@@ -4,6 +4,7 @@
 in, in seconds of one machine.
 """
 
+from filbertstep.steering._allowance import RetryAllowance as RetryAllowance
 from filbertstep.steering._directory import nearest as nearest
 from filbertstep.steering._model import Bounds as Bounds
 from filbertstep.steering._model import ClientAccount as ClientAccount
@@ -19,13 +20,10 @@
 from filbertstep.steering._placement import Question as Question
 from filbertstep.steering._quota import QuotaTable as QuotaTable
 from filbertstep.steering._regions import RegionSystem as RegionSystem
-from filbertstep.steering._retry_allowance import (
-    RetryAllowance as RetryAllowance,
-)
 from filbertstep.steering._routes import RouteTable as RouteTable
 from filbertstep.steering._routes import SplitCounter as SplitCounter
 from filbertstep.steering._servers import ServerRow as ServerRow
 from filbertstep.steering._servers import ServerTable as ServerTable
+from filbertstep.steering._waiting import reserve as reserve
 from filbertstep.steering._waiting import Waiter as Waiter
 from filbertstep.steering._waiting import WaitingRoom as WaitingRoom
-from filbertstep.steering._waiting import reserve as reserve
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -168,9 +168,7 @@
             return None
         if not split.weights.keys() & slots.keys():
             split.weights = dict(slots)
-        weights = {
-            region: split.weights.get(region, 0.0) for region in slots
-        }
+        weights = {region: split.weights.get(region, 0.0) for region in slots}
         total = sum(weights.values())
         for region, weight in weights.items():
             known = split.region_credit.get(region, 0.0)
@@ -206,9 +204,7 @@
                 adjusted.append(service)
         return adjusted
 
-    def measure(
-        self, service: str, split: ServiceSplit, now: float
-    ) -> None:
+    def measure(self, service: str, split: ServiceSplit, now: float) -> None:
         """Update the moving averages of the load of each region's slots."""
         busy: dict[str, float] = {}
         for row in self.table.usable(service, None):
@@ -255,16 +251,12 @@
         if loads[most] < HIGH_LOAD or loads[least] > loads[most] - MARGIN:
             return
         total = sum(split.weights.values())
-        part = min(
-            total * step / max(step, split.moved), split.weights[most]
-        )
+        part = min(total * step / max(step, split.moved), split.weights[most])
         split.weights[most] -= part
         split.weights[least] = split.weights.get(least, 0.0) + part
 
 
-def preferred(
-    weights: collections.abc.Mapping[str, float], thing: str
-) -> str:
+def preferred(weights: collections.abc.Mapping[str, float], thing: str) -> str:
     """Return the region of an object, in proportion to the weights.
 
     Weighted rendezvous hashing: a change of weights moves few objects.
--- a/filbertstep/steering/_routes.py
+++ b/filbertstep/steering/_routes.py
@@ -7,7 +7,6 @@
 from filbertstep.steering import _model
 
 
-
 class RouteTable:
     """Routes of one configuration by host, the longest prefix first."""
 
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -175,9 +175,9 @@
         if row is None:
             region = self.regions.get(entry.availability_zone, '')
             row = self.rows[entry.server_id] = ServerRow(entry, region, now)
-            self.by_service.setdefault(entry.service, {})[
-                entry.server_id
-            ] = row
+            self.by_service.setdefault(entry.service, {})[entry.server_id] = (
+                row
+            )
             return
         row.entry = entry
         row.cold_until = max(row.cold_until, now + entry.cold_left_s)
