--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -34,6 +34,11 @@
 # Time in seconds assumed for a request whose caller names no deadline.
 DEFAULT_DEADLINE_S: typing.Final = 30.0
 
+# Multiple of the estimated time after which an idempotent request without an
+# answer is sent to a second server as well, and the least such time.
+HEDGE_FACTOR: typing.Final = 2.5
+LEAST_HEDGE_S: typing.Final = 0.25
+
 # Time in seconds that a try needs at least to be of any use.
 LEAST_TRY_S: typing.Final = 0.05
 
@@ -258,11 +263,109 @@
             ):
                 candidate.row.in_progress -= 1
                 return self.conclude(admitted, tried, None)
-            last = await self.attempt(admitted, question, candidate, body)
-            tried.append(last)
-            if not self.may_repeat(admitted, last, tried):
+            done = await self.attempt_hedged(
+                admitted, question, candidate, body, bool(tried)
+            )
+            tried += done
+            if not self.may_repeat(admitted, done[-1], tried):
                 return self.conclude(admitted, tried, None)
 
+    async def attempt_hedged(
+        self,
+        admitted: Admitted,
+        question: steering.Question,
+        candidate: steering.Candidate,
+        body: bytes,
+        again: bool,
+    ) -> list[Try]:
+        """Send a request, to a second server too if the first is silent.
+
+        Only for requests that may run twice and were not repeated before.
+        Returns the finished tries, the one that decides last; the others are
+        cancelled.
+        """
+        first = self.start(admitted, question, candidate, body)
+        running = {first}
+        done: list[Try] = []
+        try:
+            if admitted.route.idempotent and admitted.route.attempts > 1:
+                if not again:
+                    second = await self.hedge(
+                        admitted, question, candidate, body, first
+                    )
+                    if second is not None:
+                        running.add(second)
+            while running:
+                finished, running = await asyncio.wait(
+                    running, return_when=asyncio.FIRST_COMPLETED
+                )
+                done += [task.result() for task in finished]
+                if any(succeeded(item.outcome) for item in done):
+                    break
+            done.sort(key=lambda item: succeeded(item.outcome))
+            return done
+        finally:
+            for task in {first, *running}:
+                task.cancel()
+
+    async def hedge(
+        self,
+        admitted: Admitted,
+        question: steering.Question,
+        candidate: steering.Candidate,
+        body: bytes,
+        first: asyncio.Task[Try],
+    ) -> asyncio.Task[Try] | None:
+        """Start a second try if the first takes much longer than expected."""
+        wait_s = max(LEAST_HEDGE_S, HEDGE_FACTOR * candidate.estimate_s)
+        finished, _ = await asyncio.wait({first}, timeout=wait_s)
+        now = self.clock.now()
+        if finished:
+            return None
+        expected_s = max(0.001, candidate.run_s / candidate.row.slowness)
+        candidate.row.note_slow(wait_s / expected_s, now)
+        other = question._replace(
+            tried=frozenset({candidate.row.entry.server_id})
+        )
+        best = self.state.placement.best(other, now)
+        if best is None or not best.free:
+            return None
+        if admitted.ends - now < best.estimate_s:
+            return None
+        if not self.state.retries.take(admitted.service, now):
+            return None
+        steering.reserve(best, now)
+        self.log.write(
+            'hedge',
+            id=admitted.call.request_id,
+            server=best.row.entry.server_id,
+            after_s=round(wait_s, 3),
+        )
+        return self.start(admitted, other, best, body)
+
+    def start(
+        self,
+        admitted: Admitted,
+        question: steering.Question,
+        candidate: steering.Candidate,
+        body: bytes,
+    ) -> asyncio.Task[Try]:
+        """Start a try on a reserved place, which its end gives back.
+
+        A task that is cancelled before its first step runs none of its code,
+        so the place is given back by a callback.
+        """
+        task = asyncio.ensure_future(
+            self.attempt(admitted, question, candidate, body)
+        )
+
+        def release(_: object) -> None:
+            candidate.row.in_progress -= 1
+            self.state.waiting.run(question.service, self.clock.now())
+
+        task.add_done_callback(release)
+        return task
+
     async def place(
         self, admitted: Admitted, question: steering.Question, again: bool
     ) -> steering.Candidate | Reply:
@@ -370,8 +473,6 @@
             outcome = await self.forwarder.send(attempt, lambda: None)
         finally:
             self.at_server.discard(attempt.request_id)
-            row.in_progress -= 1
-            self.state.waiting.run(question.service, self.clock.now())
         self.learn(admitted, question, candidate, outcome, sent_at)
         return Try(candidate, outcome)
 
@@ -548,6 +649,15 @@
         return reply
 
 
+def succeeded(outcome: delivery.Outcome) -> bool:
+    """Tell whether a server answered, and not with a failure of its own."""
+    return (
+        outcome.kind is OutcomeKind.ANSWERED
+        and outcome.status not in FAILED_STATUSES
+        and not not_run(outcome)
+    )
+
+
 def not_run(outcome: delivery.Outcome) -> bool:
     """Tell whether it is certain that the server did not run a request."""
     if outcome.kind in (OutcomeKind.NOT_SENT, OutcomeKind.SHED):
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -24,7 +24,7 @@
 
 # Weight of one answer in the moving averages of failures and of slowness.
 FAILURE_WEIGHT: typing.Final = 0.25
-SLOWNESS_WEIGHT: typing.Final = 0.2
+SLOWNESS_WEIGHT: typing.Final = 0.3
 
 # Time in seconds in which bad experience with a server halves.  A server that
 # is avoided yields no new experience, so the old must lose its weight.
@@ -84,10 +84,10 @@
     def note_report(self, running: int, waiting: int, now: float) -> None:
         """Take the load that came with an answer to this VM.
 
-        The answered request itself is still in it, but no longer among this
-        VM's requests in progress.
+        The answered request itself is still in it, as it is in this VM's
+        requests in progress.
         """
-        others = max(0, running + waiting - 1 - self.in_progress)
+        others = max(0, running + waiting - self.in_progress)
         known = self.others_now(now)
         self.others = known + REPORT_WEIGHT * (others - known)
         self.others_at = now
