--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -200,7 +200,7 @@
             min(call.deadline, call.arrived + route.timeout_s),
             # Homes leave no choice that could be kept steady.
             state.regions.choose(
-                route, service, call.thing if route.sticky else '', now
+                service, call.thing if route.sticky else '', now
             )
             if homes is None
             else None,
@@ -473,7 +473,7 @@
             outcome = await self.forwarder.send(attempt, lambda: None)
         finally:
             self.at_server.discard(attempt.request_id)
-        self.learn(admitted, question, candidate, outcome, sent_at)
+        self.learn(admitted, question, candidate, outcome, sent_at, len(body))
         return Try(candidate, outcome)
 
     def server_headers(
@@ -505,6 +505,7 @@
         candidate: steering.Candidate,
         outcome: delivery.Outcome,
         sent_at: float,
+        sent_bytes: int,
     ) -> None:
         """Update what is known of the server, and log the try."""
         row, now = candidate.row, self.clock.now()
@@ -518,12 +519,10 @@
             if candidate.start_s == 0.0:
                 expected = times.expected(candidate.warm)
                 row.note_success(took_s / max(0.001, expected), now)
-                times.note(candidate.warm, took_s / row.slowness)
-                self.state.regions.note_bytes(
-                    admitted.service,
-                    admitted.route.name,
-                    len(outcome.body),
-                    took_s,
+                times.note(
+                    candidate.warm,
+                    took_s / row.slowness,
+                    len(outcome.body) + sent_bytes,
                 )
             else:
                 row.note_success(row.slowness, now)
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -7,17 +7,29 @@
 """
 
 import collections.abc
+import enum
 import typing
 
 from filbertstep.steering import _model
 from filbertstep.steering import _routes
 from filbertstep.steering import _servers
 
-# Estimated one-way and return time in seconds within a zone, between zones of
-# a region, and between regions, with a charge for the bytes that cross.
+# Estimated time in seconds of the way to a server and back: within a zone,
+# between zones of a region, and between regions.
 SAME_ZONE_S: typing.Final = 0.001
-SAME_REGION_S: typing.Final = 0.06
-OTHER_REGION_S: typing.Final = 0.15
+SAME_REGION_S: typing.Final = 0.004
+OTHER_REGION_S: typing.Final = 0.03
+
+# Charge in seconds of estimated time for each byte that crosses between zones
+# of a region, and between regions: both are paid for.
+ZONE_BYTE_S: typing.Final = 12e-6
+REGION_BYTE_S: typing.Final = 25e-6
+
+# Bytes of a request and its answer that are assumed before any answer, and up
+# to which all zones of a region rank their servers together.  Fewer servers
+# then have to get an object at hand, for a charge that hardly counts.
+FIRST_BYTES: typing.Final = 3000.0
+LIGHT_BYTES: typing.Final = 1000.0
 
 # Estimated extra time in seconds for each place further down in the
 # rendezvous order.
@@ -33,6 +45,8 @@
 # Weight of one answer in a route's moving averages of run times.
 RUN_WEIGHT: typing.Final = 0.05
 
+BYTES_WEIGHT: typing.Final = 0.2
+
 # Run times that are assumed before any answer, relative to the target.
 FIRST_COLD_RUN: typing.Final = 1.5
 FIRST_WARM_RUN: typing.Final = 0.5
@@ -42,19 +56,37 @@
 EXTRA_OTHER_REGION: typing.Final = 1
 
 
+class Distance(enum.Enum):
+    """Where a server is, seen from a VM."""
+
+    ZONE = enum.auto()
+    REGION = enum.auto()
+    OTHER = enum.auto()
+
+
+# Seconds of the way, and charge in seconds for each byte.
+WAYS: typing.Final = {
+    Distance.ZONE: (SAME_ZONE_S, 0.0),
+    Distance.REGION: (SAME_REGION_S, ZONE_BYTE_S),
+    Distance.OTHER: (OTHER_REGION_S, REGION_BYTE_S),
+}
+
+
 class RunTimes:
     """Moving averages of a route's run times in seconds."""
 
     def __init__(self, target_s: float) -> None:
         self.cold_s = FIRST_COLD_RUN * target_s
         self.warm_s = FIRST_WARM_RUN * target_s
+        self.bytes = FIRST_BYTES
 
     def expected(self, warm: bool) -> float:
         """Return the run time on an idle server of usual speed."""
         return self.warm_s if warm else self.cold_s
 
-    def note(self, warm: bool, run_s: float) -> None:
-        """Count an answer."""
+    def note(self, warm: bool, run_s: float, size: int) -> None:
+        """Count an answer; ``size`` in bytes, that of the request included."""
+        self.bytes += BYTES_WEIGHT * (size - self.bytes)
         if warm:
             self.warm_s += RUN_WEIGHT * (run_s - self.warm_s)
         else:
@@ -119,22 +151,30 @@
             known = self.run_times[route.name] = RunTimes(route.target_s)
         return known
 
-    def network_s(self, row: _servers.ServerRow) -> float:
-        """Return the estimated cost of the way to a server and back."""
+    def distance(self, row: _servers.ServerRow) -> Distance:
+        """Return where a server is, seen from this VM."""
         if row.entry.availability_zone == self.availability_zone:
-            return SAME_ZONE_S
-        return SAME_REGION_S if row.region == self.region else OTHER_REGION_S
+            return Distance.ZONE
+        if row.region == self.region:
+            return Distance.REGION
+        return Distance.OTHER
+
+    def network_s(self, distance: Distance, size: float) -> float:
+        """Return the estimated cost of the way to a server and back."""
+        way_s, byte_s = WAYS[distance]
+        return way_s + byte_s * size
 
     def candidates(
         self, question: Question, now: float
     ) -> list[_servers.ServerRow]:
         """Return the warm servers and the first few of each group."""
-        groups: dict[float, list[_servers.ServerRow]] = {}
+        light = self.times(question.route).bytes <= LIGHT_BYTES
+        groups: dict[Distance, list[_servers.ServerRow]] = {}
         for row in self.table.usable(question.service, question.homes):
             if row.entry.server_id in question.tried:
                 continue
             if question.region is None or row.region == question.region:
-                groups.setdefault(self.network_s(row), []).append(row)
+                groups.setdefault(self.group(row, light), []).append(row)
         chosen = []
         for rows in groups.values():
             rows.sort(
@@ -159,12 +199,13 @@
     def best(self, question: Question, now: float) -> Candidate | None:
         """Return the server with the least estimate, None without any."""
         best: Candidate | None = None
-        places: dict[float, int] = {}
+        places: dict[Distance, int] = {}
+        size = self.times(question.route).bytes
         for row in self.candidates(question, now):
-            network_s = self.network_s(row)
-            place = places.get(network_s, 0)
-            places[network_s] = place + 1
-            found = self.estimate(row, question, network_s, now)
+            group = self.group(row, size <= LIGHT_BYTES)
+            place = places.get(group, 0)
+            places[group] = place + 1
+            found = self.estimate(row, question, size, now)
             found = found._replace(
                 estimate_s=found.estimate_s + place * RANK_S
             )
@@ -174,6 +215,13 @@
                 best = found
         return best
 
+    def group(self, row: _servers.ServerRow, light: bool) -> Distance:
+        """Return the servers among which a server is ranked."""
+        found = self.distance(row)
+        if light and found is Distance.ZONE:
+            return Distance.REGION
+        return found
+
     def unused(self, row: _servers.ServerRow, now: float) -> bool:
         """Tell whether a server of this zone lacks the objects it should have.
 
@@ -189,17 +237,18 @@
         self,
         row: _servers.ServerRow,
         question: Question,
-        network_s: float,
+        size: float,
         now: float,
     ) -> Candidate:
         """Return the estimate for one server."""
         times = self.times(question.route)
+        distance = self.distance(row)
         row.age_experience(now)
         warm = bool(question.thing) and row.is_warm(question.thing, now)
         run_s = times.expected(warm) * row.slowness
         slots = max(1, row.entry.slots)
         limit = slots
-        if network_s >= OTHER_REGION_S:
+        if distance is Distance.OTHER:
             limit += EXTRA_OTHER_REGION
         occupied = row.occupied(now)
         ahead = occupied + row.awaited
@@ -210,7 +259,7 @@
         risk_s = row.failures * times.cold_s
         return Candidate(
             row,
-            network_s + start_s + run_s + risk_s,
+            self.network_s(distance, size) + start_s + run_s + risk_s,
             start_s,
             run_s,
             warm,
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -2,8 +2,7 @@
 
 A region with less room than its callers need sends a part of its requests to
 other regions.  That part changes slowly: a quick move of traffic meets servers
-that have none of its objects at hand, and overloads links.  Requests with few
-bytes for their run time move first, because bytes between regions are scarce.
+that have none of its objects at hand, and overloads links.
 
 Requests are dealt by counting and not at random, so that the part that moves
 is kept in short windows too.
@@ -40,19 +39,14 @@
 # Load of all slots together that is assumed before anything was measured.
 FIRST_LOAD: typing.Final = 0.75
 
-# Weight of one measurement in the moving averages of load, and of one answer
-# in those of a route's bytes.
+# Weight of one measurement in the moving averages of load.
 LOAD_WEIGHT: typing.Final = 0.4
-BYTES_WEIGHT: typing.Final = 0.05
 
 # One more than the number of hash values.
 HASHES: typing.Final = 2**64 + 1
 
-# Ratio of bytes for run time up to which routes count as equally cheap.
-CHEAP_RATIO: typing.Final = 1.5
-
-# Requests by which dealing may lag behind the split to wait for one that is
-# cheap to move.
+# Requests by which dealing may lag behind the weights of the other regions, so
+# that an object goes to the same one.
 LAG: typing.Final = 2.0
 
 
@@ -91,9 +85,6 @@
         self.region = region
         self.bounds = bounds
         self.splits: dict[str, ServiceSplit] = {}
-        # Moving averages of bytes for a second of run time, by service and
-        # route.
-        self.density: dict[str, dict[str, float]] = {}
 
     def slots(self, service: str) -> dict[str, int]:
         """Return the usable slots of a service by region."""
@@ -119,18 +110,7 @@
         fair = total / len(set(self.table.regions.values()))
         return max(0.0, 1.0 - slots.get(self.region, 0) / fair / FIRST_LOAD)
 
-    def note_bytes(
-        self, service: str, route: str, size: int, run_s: float
-    ) -> None:
-        """Count an answer's bytes against its run time."""
-        found = size / max(0.001, run_s)
-        rows = self.density.setdefault(service, {})
-        known = rows.get(route, found)
-        rows[route] = known + BYTES_WEIGHT * (found - known)
-
-    def choose(
-        self, route: _model.Route, service: str, thing: str, now: float
-    ) -> str:
+    def choose(self, service: str, thing: str, now: float) -> str:
         """Return the region of a request that may go anywhere."""
         split = self.split(service, now)
         split.prune(now)
@@ -138,21 +118,13 @@
         split.credit += split.moved
         if split.credit < 1.0:
             return self.region
-        if split.credit < LAG and not self.cheap(route, service):
-            return self.region
         other = self.other(service, thing, split)
         if other is None:
-            split.credit = min(split.credit, LAG)
+            split.credit = 1.0
             return self.region
         split.credit -= 1.0
         return other
 
-    def cheap(self, route: _model.Route, service: str) -> bool:
-        """Tell whether no route of the service moves much fewer bytes."""
-        known = self.density.get(service, {})
-        own = known.get(route.name)
-        return own is None or own <= min(known.values()) * CHEAP_RATIO
-
     def other(
         self, service: str, thing: str, split: ServiceSplit
     ) -> str | None:
