Test the steering decisions by pattern of load; keep restarts within the burst

The test of a restart of all VMs found one request above the bound in 5 s (483 of 482): the part of the tolerance that each VM uses goes from 0.6 to 0.5. Tokens from a peer were cut off at the account's burst; that lost some.

--- a/filbertstep/steering/_quota.py
+++ b/filbertstep/steering/_quota.py
@@ -24,7 +24,7 @@
 
 # Part of the tolerance on rates and on windows that is used, to make up for
 # the division of buckets among VMs.  The rest covers restarts.
-USED_SLACK: typing.Final = 0.6
+USED_SLACK: typing.Final = 0.5
 USED_OVER: typing.Final = 0.5
 
 
@@ -103,8 +103,11 @@
 
     def most(self, account: _model.ClientAccount) -> float:
         """Return the tokens that this VM's part of the burst holds."""
-        slack = USED_SLACK * self.bounds.rate_slack
-        return max(1.0, (account.burst + slack) / self.parts)
+        return max(1.0, self.whole(account) / self.parts)
+
+    def whole(self, account: _model.ClientAccount) -> float:
+        """Return the tokens that the buckets of all VMs hold together."""
+        return account.burst + USED_SLACK * self.bounds.rate_slack
 
     def refill(self, account: _model.ClientAccount, now: float) -> Bucket:
         """Return the account's bucket as of now."""
@@ -117,7 +120,7 @@
             bucket = self.buckets[account.name] = Bucket(first, now)
         elapsed = max(0.0, now - bucket.updated)
         refilled = min(self.most(account), bucket.tokens + share * elapsed)
-        # Tokens from peers may exceed the part of the burst for a while.
-        bucket.tokens = max(refilled, min(bucket.tokens, account.burst))
+        # Tokens from peers may exceed this VM's part for a while.
+        bucket.tokens = max(refilled, min(bucket.tokens, self.whole(account)))
         bucket.updated = now
         return bucket
--- /dev/null
+++ b/tests/test_steering_regions.py
@@ -0,0 +1,99 @@
+"""Splits of requests over regions, by pattern of load."""
+
+import collections
+import unittest
+
+from filbertstep import steering
+from tests import steering_samples as samples
+
+
+class TestRegionSystem(unittest.TestCase):
+    """A region with 2 of 20 servers and a third of the callers."""
+
+    def setUp(self) -> None:
+        """Build the table."""
+        entries = [samples.server('a0'), samples.server('a1', 'a-2')]
+        entries += [samples.server(f'b{n}', 'b-1') for n in range(8)]
+        entries += [samples.server(f'c{n}', 'c-1') for n in range(10)]
+        self.table = samples.table(*entries)
+        self.system = steering.RegionSystem(self.table, 'a', samples.BOUNDS)
+
+    def shares(self, now: float, count: int = 60) -> dict[str, float]:
+        """Return the shares of the regions in one burst of requests."""
+        found = collections.Counter(
+            self.system.choose('orders', str(number % 24), now)
+            for number in range(count)
+        )
+        return {region: found[region] / count for region in 'abc'}
+
+    def test_a_small_region_starts_with_a_split(self) -> None:
+        """Guards against filling few servers first and moving later.
+
+        That moved half of a region's requests within 2 s (SHIFT, quiet-1).
+        """
+        shares = self.shares(0.0)
+        self.assertGreater(shares['b'] + shares['c'], 0.3)
+        self.assertGreater(shares['a'], 0.2)
+
+    def test_a_large_region_keeps_its_requests(self) -> None:
+        """Guards against moving without need."""
+        system = steering.RegionSystem(self.table, 'c', samples.BOUNDS)
+        for number in range(50):
+            self.assertEqual(system.choose('orders', str(number), 0.0), 'c')
+
+    def test_the_split_is_kept_in_each_window(self) -> None:
+        """Guards against chance: a window has some 60 requests only."""
+        self.system.split('orders', 0.0)
+        before = self.shares(0.0)
+        for window in range(1, 20):
+            after = self.shares(2.0 * window)
+            moved = sum(abs(after[r] - before[r]) for r in 'abc') / 2
+            self.assertLessEqual(moved, samples.BOUNDS.shift_share)
+            before = after
+
+    def test_load_moves_the_split_slowly(self) -> None:
+        """Guards against swings that exceed the bound on shifts."""
+        for row in self.table.rows.values():
+            row.in_progress = 3 if row.region == 'a' else 0
+        before = self.system.split('orders', 0.0).moved
+        for step in range(1, 21):
+            now = step * 0.1
+            self.system.tick(now)
+        after = self.system.split('orders', 2.0).moved
+        self.assertGreater(after, before)
+        self.assertLess(after - before, samples.BOUNDS.shift_share)
+
+    def test_requests_return_when_the_region_has_room(self) -> None:
+        """Guards against bytes between regions that nothing asks for."""
+        self.system.split('orders', 0.0)
+        for step in range(1, 400):
+            self.system.tick(step * 0.1)
+        self.assertEqual(self.system.split('orders', 40.0).moved, 0.0)
+
+    def test_unplanned_moves_are_few(self) -> None:
+        """Guards against an overflow that moves a whole window's requests."""
+        self.shares(0.0, 100)
+        moves = sum(
+            self.system.may_overflow('orders', 0.1) for _ in range(100)
+        )
+        self.assertLessEqual(moves, 15)
+        self.assertGreater(moves, 0)
+
+    def test_an_object_keeps_to_one_other_region(self) -> None:
+        """Guards against cold runs of one object in two regions."""
+        self.system.split('orders', 0.0).moved = 1.0
+        places: dict[str, collections.Counter[str]] = {}
+        for number in range(960):
+            thing = str(number % 24)
+            region = self.system.choose('orders', thing, number * 0.01)
+            places.setdefault(thing, collections.Counter())[region] += 1
+        kept = sum(max(found.values()) for found in places.values())
+        self.assertGreater(kept / 960, 0.8)
+
+    def test_no_other_region_keeps_all_requests(self) -> None:
+        """Guards against a split towards regions without servers."""
+        table = samples.table(samples.server('a0'))
+        system = steering.RegionSystem(table, 'a', samples.BOUNDS)
+        system.split('orders', 0.0).moved = 0.5
+        for number in range(20):
+            self.assertEqual(system.choose('orders', str(number), 0.0), 'a')
