Test the steering decisions by pattern of load; keep restarts within the burst

The test of a restart of all VMs found one request above the bound in 5 s (483 of 482); a smaller part of the tolerance alone left it at 483.

--- a/filbertstep/steering/_quota.py
+++ b/filbertstep/steering/_quota.py
@@ -14,7 +14,7 @@
 
 # Refill in seconds with which a restarted VM begins.  Its predecessor may
 # have spent the burst, but spent nothing while the process started.
-RESTART_REFILL_S: typing.Final = 0.5
+RESTART_REFILL_S: typing.Final = 0.25
 
 # Tokens that a VM keeps for its own callers when a peer asks.
 KEPT: typing.Final = 0.5
@@ -116,7 +116,7 @@
         if bucket is None:
             first = self.most(account)
             if not self.full_start:
-                first = min(first, 1.0 + share * RESTART_REFILL_S)
+                first = min(first, max(1.0, share * RESTART_REFILL_S))
             bucket = self.buckets[account.name] = Bucket(first, now)
         elapsed = max(0.0, now - bucket.updated)
         refilled = min(self.most(account), bucket.tokens + share * elapsed)
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -1,13 +1,14 @@
 """Placement of requests on backend servers, by pattern of load."""
 
+import typing
 import unittest
 
 from filbertstep import steering
 from tests import steering_samples as samples
 
 
-def question(thing: str = 'x', **changes: object) -> steering.Question:
-    """Return a question for one object; object: fields of several types."""
+def question(thing: str = 'x', **changes: typing.Any) -> steering.Question:
+    """Return a question for one object; Any: fields of several types."""
     return steering.Question(samples.route(), 'orders', thing, None)._replace(
         **changes
     )
