--- /dev/null
+++ b/tests/platform_store.py
@@ -0,0 +1,191 @@
+"""Stand-in of the platform's store, with failures that tests switch on."""
+
+import asyncio
+import base64
+import json
+import typing
+
+from aiohttp import web
+
+# Items in one page of a range.
+PAGE: typing.Final = 5
+
+
+class PlatformStore:
+    """Keys with revisions and leases, served as the platform's pages say.
+
+    ``status`` other than 0 answers every call with it; ``silent`` answers
+    none; ``lose_writes`` does writes and closes the connection.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict[str, typing.Any]] = {}
+        self.events: list[dict[str, typing.Any]] = []
+        self.revision = 1
+        self.forgotten = 0
+        self.leases: dict[int, list[str]] = {}
+        self.next_lease = 100
+        self.changed = asyncio.Event()
+        self.status = 0
+        self.silent = False
+        self.lose_writes = False
+        self.calls: dict[str, int] = {}
+        self.runner: web.AppRunner | None = None
+        self.address = ''
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback interface."""
+        app = web.Application(middlewares=[self.failures])
+        prefix = '/filbertstep'
+        app.router.add_get(f'{prefix}/kv-range', self.range)
+        app.router.add_get(f'{prefix}/kv-watch', self.watch)
+        app.router.add_post(f'{prefix}/kv-txn', self.transact)
+        app.router.add_post(f'{prefix}/kv-lease', self.grant)
+        app.router.add_post(f'{prefix}/kv-keep/{{lease}}', self.keep)
+        app.router.add_delete(f'{prefix}/kv-lease-end/{{lease}}', self.end)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        host, port = self.runner.addresses[0][:2]
+        self.address = f'{host}:{port}'
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    @web.middleware
+    async def failures(
+        self, request: web.Request, handler: typing.Any
+    ) -> web.StreamResponse:
+        """Fail calls as switched on; Any: aiohttp's handler type."""
+        name = request.path.split('/')[2]
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if self.silent:
+            await asyncio.sleep(3600)
+        if self.status:
+            return web.Response(status=self.status)
+        answer: web.StreamResponse = await handler(request)
+        if self.lose_writes and request.method != 'GET':
+            assert request.transport is not None
+            request.transport.abort()
+        return answer
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key as the operator or a server does."""
+        self.revision += 1
+        known = self.items.get(key)
+        item = {
+            'key': key,
+            'value': base64.b64encode(value).decode(),
+            'revision': self.revision,
+            'created': known['created'] if known else self.revision,
+            'lease': lease,
+        }
+        self.items[key] = item
+        if lease:
+            self.leases[lease].append(key)
+        self.note(item)
+        return self.revision
+
+    def delete(self, key: str) -> int:
+        """Delete a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.note({'key': key, 'revision': self.revision, 'deleted': True})
+        return self.revision
+
+    def note(self, event: dict[str, typing.Any]) -> None:
+        """Keep an event and wake the watches."""
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.events = []
+        self.forgotten = self.revision
+
+    def lapse(self, lease: int) -> None:
+        """End a lease; its keys go."""
+        for key in self.leases.pop(lease, []):
+            self.delete(key)
+
+    async def range(self, request: web.Request) -> web.Response:
+        """Return a page of items."""
+        prefix = request.query.get('prefix', '')
+        after = request.query.get('after', '')
+        keys = sorted(
+            key for key in self.items if key.startswith(prefix) and key > after
+        )
+        return answer(
+            {
+                'items': [self.items[key] for key in keys[:PAGE]],
+                'has_more': len(keys) > PAGE,
+                'store_revision': self.revision,
+            }
+        )
+
+    async def watch(self, request: web.Request) -> web.Response:
+        """Return events after a revision, or none after the wait."""
+        prefix = request.query.get('prefix', '')
+        after = int(request.query['after'])
+        if after < self.forgotten:
+            return web.Response(status=410)
+
+        def found() -> list[dict[str, typing.Any]]:
+            return [
+                event
+                for event in self.events
+                if event['revision'] > after
+                and event['key'].startswith(prefix)
+            ]
+
+        try:
+            async with asyncio.timeout(int(request.query['wait_ms']) / 1000):
+                while not found():
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
+        return answer({'events': found(), 'store_revision': self.revision})
+
+    async def transact(self, request: web.Request) -> web.Response:
+        """Do a transaction if its conditions hold."""
+        body = json.loads(await request.read())
+        for row in body['expect_rev']:
+            known = self.items.get(row['key'])
+            if (known['revision'] if known else 0) != row['revision']:
+                return web.Response(status=412)
+        for row in body['writes']:
+            if row['lease'] and row['lease'] not in self.leases:
+                return web.Response(status=404)
+            self.put(row['key'], base64.b64decode(row['value']), row['lease'])
+        for key in body['deletes']:
+            self.delete(key)
+        return answer({'revision': self.revision})
+
+    async def grant(self, request: web.Request) -> web.Response:
+        """Grant a lease."""
+        body = json.loads(await request.read())
+        self.next_lease += 1
+        self.leases[self.next_lease] = []
+        return answer({'lease': self.next_lease, 'ttl_ms': body['ttl_ms']})
+
+    async def keep(self, request: web.Request) -> web.Response:
+        """Renew a lease."""
+        if int(request.match_info['lease']) not in self.leases:
+            return web.Response(status=404)
+        return answer({'ttl_ms': 3000})
+
+    async def end(self, request: web.Request) -> web.Response:
+        """End a lease."""
+        self.lapse(int(request.match_info['lease']))
+        return answer({})
+
+
+def answer(body: dict[str, typing.Any]) -> web.Response:
+    """Return a JSON answer."""
+    return web.Response(
+        body=json.dumps(body).encode(), content_type='application/json'
+    )
--- /dev/null
+++ b/tests/test_entry_knowledge.py
@@ -0,0 +1,330 @@
+"""What an entry VM knows of the store, and how old that is."""
+
+import asyncio
+import io
+import json
+import os
+import typing
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from filbertstep import clock
+from filbertstep import entry
+from filbertstep.entry import _knowledge
+from filbertstep.entry import _log
+from filbertstep.entry import _membership
+from filbertstep.entry import _sync
+from filbertstep.platform import _store
+from tests import platform_store
+from tests import steering_samples as samples
+
+
+def change(
+    key: str, revision: int, value: bytes | None = b'v'
+) -> entry.Change:
+    """Return a change."""
+    return entry.Change(key, revision, value)
+
+
+class TestKnowledgeTable(unittest.TestCase):
+    """The table of keys; keys under ``s/`` may lapse."""
+
+    def setUp(self) -> None:
+        """Build an empty table."""
+        self.seen: list[entry.Change] = []
+        self.table = _knowledge.KnowledgeTable(
+            self.seen.append, lambda key: key.startswith('s/')
+        )
+
+    def apply(self, revision: int, now: float, *changes: entry.Change) -> None:
+        """Take changes read at a time."""
+        self.table.apply(entry.Listing(changes, revision), now, now)
+
+    def test_age_counts_from_the_send_of_the_read(self) -> None:
+        """Guards against trusting knowledge for longer than it is fresh."""
+        self.assertEqual(self.table.age(5.0), float('inf'))
+        self.table.apply(entry.Listing((), 1), 3.0, 4.5)
+        self.assertEqual(self.table.age(5.0), 2.0)
+
+    def test_older_content_is_never_taken(self) -> None:
+        """Guards against a relay that turns back what is known."""
+        self.apply(5, 0.0, change('a', 5, b'new'))
+        self.table.replace(
+            entry.Listing((change('a', 2, b'old'),), 3), 1.0, 1.0
+        )
+        self.assertEqual(self.table.items['a'].value, b'new')
+        self.apply(6, 1.0, change('a', 4, b'old'))
+        self.assertEqual(self.table.items['a'].value, b'new')
+
+    def test_a_deletion_outlives_a_late_write(self) -> None:
+        """Guards against a deleted key that an old page brings back."""
+        self.apply(2, 0.0, change('a', 2))
+        self.apply(4, 0.1, change('a', 4, None))
+        self.apply(5, 0.2, change('a', 3))
+        self.assertNotIn('a', self.table.items)
+
+    def test_a_whole_listing_deletes_what_is_missing(self) -> None:
+        """Guards against keys that stay after a forgotten history."""
+        self.apply(2, 0.0, change('a', 1), change('b', 2))
+        self.table.replace(entry.Listing((change('b', 2),), 9), 0.1, 0.1)
+        self.assertEqual(set(self.table.items), {'b'})
+        self.assertIsNone(self.seen[-1].value)
+
+    def test_lapsed_entries_wait_after_an_outage(self) -> None:
+        """Guards against emptying the table when the store is back.
+
+        Leases ran out while it was away; the servers write again within 2 s.
+        """
+        self.apply(2, 0.0, change('s/1', 1), change('s/2', 2))
+        self.apply(4, 10.0, change('s/1', 3, None), change('s/2', 4, None))
+        self.assertEqual(set(self.table.items), {'s/1', 's/2'})
+        self.apply(5, 11.0, change('s/1', 5))
+        self.table.release(12.0)
+        self.assertEqual(set(self.table.items), {'s/1', 's/2'})
+        self.table.release(12.3)
+        self.assertEqual(set(self.table.items), {'s/1'})
+
+    def test_without_an_outage_a_deletion_holds_at_once(self) -> None:
+        """Guards against requests to servers that have left."""
+        self.apply(2, 0.0, change('s/1', 1))
+        self.apply(3, 1.0, change('s/1', 3, None))
+        self.assertEqual(self.table.items, {})
+
+    def test_other_keys_never_wait(self) -> None:
+        """Guards against an evacuation that ends late after an outage."""
+        self.apply(2, 0.0, change('op/evacuate/z', 1))
+        self.apply(3, 10.0, change('op/evacuate/z', 3, None))
+        self.assertEqual(self.table.items, {})
+
+    def test_peers_get_what_they_lack(self) -> None:
+        """Guards against relays that lose a deletion."""
+        self.apply(3, 0.0, change('a', 1), change('b', 2), change('c', 3))
+        self.apply(4, 0.1, change('a', 4, None))
+        found, partial = self.table.since(2)
+        self.assertTrue(partial)
+        self.assertEqual(
+            {(item.key, item.value) for item in found},
+            {('c', b'v'), ('a', None)},
+        )
+        found, partial = self.table.since(0)
+        self.assertFalse(partial)
+        self.assertEqual({item.key for item in found}, {'b', 'c'})
+
+
+def log(time_source: clock.Clock) -> _log.DecisionLog:
+    """Return a log that nobody reads."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    handler = _log.PipeHandler(writer)
+    handler.emit = lambda record: None  # type: ignore[method-assign]
+    return _log.DecisionLog('vm', 1000.0, time_source, handler)
+
+
+class TestLog(unittest.TestCase):
+    """Lines are bounded and never block."""
+
+    def test_a_full_pipe_drops_lines(self) -> None:
+        """Guards against a process that waits for the reader of its logs."""
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        handler = _log.PipeHandler(writer)
+        fake = clock.FakeClock()
+        lines = _log.DecisionLog('vm', 1e6, fake, handler)
+        for number in range(20000):
+            lines.write('try', id=str(number), text='x' * 100)
+            if number % 100 == 0:
+                lines.flush()
+        self.assertGreater(handler.dropped, 0)
+        self.assertLessEqual(len(handler.pending), _log.MOST_PENDING)
+
+    def test_each_kind_has_a_budget(self) -> None:
+        """Guards against many tries that leave no room for failures."""
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        handler = _log.PipeHandler(writer)
+        fake = clock.FakeClock()
+        lines = _log.DecisionLog('vm', 10.0, fake, handler)
+        for number in range(100):
+            lines.write('try', id=str(number))
+        lines.write('failure', id='f')
+        fake.advance(1.0)
+        lines.write('try', id='later')
+        lines.flush()
+        rows = [
+            json.loads(line)
+            for line in io.BytesIO(os.read(reader, 65536)).readlines()
+        ]
+        self.assertEqual(sum(row['kind'] == 'try' for row in rows), 21)
+        self.assertEqual(rows[-1]['left_out'], 80)
+        self.assertTrue(any(row['kind'] == 'failure' for row in rows))
+
+
+class TestSync(unittest.IsolatedAsyncioTestCase):
+    """Two VMs and a store that turns one of them away."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a store, a VM and its peer."""
+        self.clock = clock.SystemClock()
+        self.log = log(self.clock)
+        self.standin = platform_store.PlatformStore()
+        await self.standin.start()
+        self.session = aiohttp.ClientSession()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.peer = self.vm('v2', self.standin.address)
+        self.runner = web.ServerRunner(web.Server(self.relay))
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        host, port = self.runner.addresses[0][:2]
+        self.peer_address = f'{host}:{port}'
+
+    async def asyncTearDown(self) -> None:
+        """Stop everything."""
+        for task in self.tasks:
+            task.cancel()
+        await self.runner.cleanup()
+        await self.session.close()
+        await self.standin.stop()
+
+    async def relay(self, request: web.BaseRequest) -> web.Response:
+        """Answer as the peer does."""
+        doc = self.peer.answer(int(request.query['after']))
+        if doc is None:
+            return web.Response(status=503)
+        return web.json_response(doc)
+
+    def vm(self, name: str, store: str, *seeds: str) -> _sync.Sync:
+        """Return a VM's knowledge of a store."""
+        client = _store.UsersStore(f'http://{store}', self.session, 1.0)
+        members = _membership.MemberTable()
+        table = _knowledge.KnowledgeTable(
+            lambda found: members.take(found, self.clock.now()),
+            lambda key: False,
+        )
+        registration = _membership.Registration(
+            client,
+            samples.member(name),
+            members,
+            self.clock,
+            self.log,
+        )
+        return _sync.Sync(
+            client,
+            table,
+            members,
+            registration,
+            seeds,
+            self.session,
+            self.clock,
+            self.log,
+        )
+
+    def run_soon(self, work: typing.Coroutine[object, object, None]) -> None:
+        """Run a system until the test ends."""
+        self.tasks.append(asyncio.ensure_future(work))
+
+    async def until(self, holds: typing.Callable[[], bool]) -> None:
+        """Wait for a condition."""
+        async with asyncio.timeout(10):
+            while not holds():
+                await asyncio.sleep(0.02)
+
+    async def test_changes_arrive(self) -> None:
+        """Guards against a configuration that is not put in force."""
+        self.standin.put('op/config', b'1')
+        self.run_soon(self.peer.run_store())
+        await self.until(lambda: 'op/config' in self.peer.table.items)
+        self.standin.put('op/config', b'2')
+        await self.until(
+            lambda: self.peer.table.items['op/config'].value == b'2'
+        )
+
+    async def test_a_forgotten_history_leads_to_a_new_listing(self) -> None:
+        """Guards against deletions that a dropped history hides."""
+        self.standin.put('servers/1', b'1')
+        self.run_soon(self.peer.run_store())
+        await self.until(lambda: 'servers/1' in self.peer.table.items)
+        self.standin.delete('servers/1')
+        self.standin.put('servers/2', b'2')
+        self.standin.forget()
+        await self.until(lambda: set(self.peer.table.items) == {'servers/2'})
+
+    async def test_a_vm_without_store_asks_its_peer(self) -> None:
+        """Guards against refusing callers whom a peer could vouch for."""
+        self.standin.put('op/config', b'1')
+        self.run_soon(self.peer.run_store())
+        await self.until(lambda: 'op/config' in self.peer.table.items)
+        lonely = self.vm('v1', '127.0.0.1:1', self.peer_address)
+        self.run_soon(lonely.run_relay())
+        await self.until(lambda: 'op/config' in lonely.table.items)
+        age = lonely.table.age(self.clock.now())
+        self.assertLess(age, 5.0)
+        self.standin.put('op/config', b'2')
+        self.standin.put('op/more', b'3')
+        await self.until(lambda: 'op/more' in lonely.table.items)
+        self.assertEqual(lonely.table.items['op/config'].value, b'2')
+
+    async def test_a_relay_adds_its_own_age(self) -> None:
+        """Guards against knowledge that two VMs keep young for each other."""
+        self.peer.table.apply(
+            entry.Listing((), 5),
+            self.clock.now() - 2.5,
+            self.clock.now(),
+        )
+        lonely = self.vm('v1', '127.0.0.1:1', self.peer_address)
+        self.assertTrue(await lonely.ask(self.peer_address))
+        self.assertGreaterEqual(lonely.table.age(self.clock.now()), 2.5)
+
+    async def test_old_knowledge_is_not_relayed(self) -> None:
+        """Guards against a chain of relays that hides an outage."""
+        self.peer.table.apply(
+            entry.Listing((), 5),
+            self.clock.now() - 3.5,
+            self.clock.now(),
+        )
+        self.assertIsNone(self.peer.answer(0))
+
+    async def test_a_vm_registers_again_after_a_lost_lease(self) -> None:
+        """Guards against a VM that no look-up names any more."""
+        self.run_soon(self.peer.run_store())
+        self.run_soon(self.peer.registration.run())
+        await self.until(lambda: 'v2' in self.peer.members.live)
+        self.standin.lapse(self.peer.registration.lease)
+        await self.until(lambda: 'v2' not in self.peer.members.live)
+        await self.until(lambda: 'v2' in self.peer.members.live)
+        self.assertEqual(self.peer.members.parts('v2'), 1)
+
+    async def test_a_vm_that_leaves_is_named_no_more(self) -> None:
+        """Guards against callers sent to a VM that stops."""
+        self.run_soon(self.peer.run_store())
+        self.run_soon(self.peer.registration.run())
+        await self.until(lambda: 'v2' in self.peer.members.live)
+        await self.peer.registration.leave()
+        self.assertNotIn('vms/v2', self.standin.items)
+        self.assertIn('fleet/v2', self.standin.items)
+
+
+class TestMemberTable(unittest.TestCase):
+    """Which VMs count."""
+
+    def test_a_vm_without_lease_still_counts(self) -> None:
+        """Guards against two VMs that spend one part of a rate."""
+        table = _membership.MemberTable()
+        table.take(change('fleet/a', 1, b''), 0.0)
+        table.take(change('fleet/b', 2, b''), 0.0)
+        self.assertEqual(table.parts('a'), 2)
+        self.assertEqual(table.departed(1.0), [])
+        self.assertEqual(
+            table.departed(_membership.SPENDING_S + 1.0),
+            [('a', 1), ('b', 2)],
+        )
+        table.take(change('fleet/b', 3, None), 20.0)
+        self.assertEqual(table.parts('a'), 1)
+
+    def test_an_unreadable_entry_names_no_vm(self) -> None:
+        """Guards against a key of another version of the program."""
+        table = _membership.MemberTable()
+        table.take(change('vms/a', 1, b'{"x":1}'), 0.0)
+        self.assertEqual(table.live, {})
