--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -30,14 +30,14 @@
 
 # Load of a region's slots above which more requests leave it, and below which
 # they return.  The gap keeps the split from swinging.
-HIGH_LOAD: typing.Final = 0.7
-LOW_LOAD: typing.Final = 0.4
+HIGH_LOAD: typing.Final = 1.0
+LOW_LOAD: typing.Final = 0.75
 
 # Other regions must be this much less loaded to get more.
 MARGIN: typing.Final = 0.15
 
 # Load of all slots together that is assumed before anything was measured.
-FIRST_LOAD: typing.Final = 0.75
+FIRST_LOAD: typing.Final = 0.55
 
 # Weight of one measurement in the moving averages of load.
 LOAD_WEIGHT: typing.Final = 0.4
