--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -35,6 +35,10 @@
 # rendezvous order.
 RANK_S: typing.Final = 0.02
 
+# Probability that the first in rank has an object at hand that this VM did
+# not send there: other VMs rank it first too.
+FIRST_WARM: typing.Final = 0.5
+
 # Servers of a group that are considered beside the warm ones.
 RANKED_SERVERS: typing.Final = 4
 
@@ -80,9 +84,12 @@
         self.warm_s = FIRST_WARM_RUN * target_s
         self.bytes = FIRST_BYTES
 
-    def expected(self, warm: bool) -> float:
-        """Return the run time on an idle server of usual speed."""
-        return self.warm_s if warm else self.cold_s
+    def expected(self, warm: float) -> float:
+        """Return the run time on an idle server of usual speed.
+
+        ``warm`` is the probability that it has the object at hand.
+        """
+        return warm * self.warm_s + (1.0 - warm) * self.cold_s
 
     def note(self, warm: bool, run_s: float, size: int) -> None:
         """Count an answer; ``size`` in bytes, that of the request included."""
@@ -205,7 +212,7 @@
             group = self.group(row, size <= LIGHT_BYTES)
             place = places.get(group, 0)
             places[group] = place + 1
-            found = self.estimate(row, question, size, now)
+            found = self.estimate(row, question, size, place == 0, now)
             found = found._replace(
                 estimate_s=found.estimate_s + place * RANK_S
             )
@@ -238,6 +245,7 @@
         row: _servers.ServerRow,
         question: Question,
         size: float,
+        first: bool,
         now: float,
     ) -> Candidate:
         """Return the estimate for one server."""
@@ -245,7 +253,10 @@
         distance = self.distance(row)
         row.age_experience(now)
         warm = bool(question.thing) and row.is_warm(question.thing, now)
-        run_s = times.expected(warm) * row.slowness
+        chance = 1.0 if warm else 0.0
+        if first and question.thing and not warm:
+            chance = FIRST_WARM
+        run_s = times.expected(chance) * row.slowness
         slots = max(1, row.entry.slots)
         limit = slots
         if distance is Distance.OTHER:
