--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -16,8 +16,9 @@
 from filbertstep.entry import _membership
 
 # Longest wait in seconds of one watch.  Each answer, empty or not, confirms
-# that the knowledge was newest when the watch was sent.
-WATCH_S: typing.Final = 1.2
+# that the knowledge was newest when the watch was sent, so that it is up to
+# two waits old.  That must stay below the bound on applying a change.
+WATCH_S: typing.Final = 0.9
 
 # Least time in seconds between two watches, so that frequent changes come
 # several to an answer.  Well below the bound on applying a change.
@@ -28,7 +29,7 @@
 LONGEST_RETRY_S: typing.Final = 1.5
 
 # Age in seconds of the knowledge from which a VM asks peers to relay.
-RELAY_AFTER_S: typing.Final = 2.2
+RELAY_AFTER_S: typing.Final = 2.4
 
 # Time in seconds between questions to a relay, and the limit of one.
 RELAY_EVERY_S: typing.Final = 0.6
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -22,7 +22,7 @@
 
 # Charge in seconds of estimated time for each byte that crosses between zones
 # of a region, and between regions: both are paid for.
-ZONE_BYTE_S: typing.Final = 12e-6
+ZONE_BYTE_S: typing.Final = 25e-6
 REGION_BYTE_S: typing.Final = 25e-6
 
 # Bytes of a request and its answer that are assumed before any answer, and up
