--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -33,7 +33,7 @@
 
 # Estimated extra time in seconds for each place further down in the
 # rendezvous order.
-RANK_S: typing.Final = 0.25
+RANK_S: typing.Final = 0.5
 
 # Probability that the first in rank has an object at hand that this VM did
 # not send there: other VMs rank it first too.
