--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -1,4 +1,10 @@
-"""Keeps the knowledge of the store fresh, by own reads or by peers' relays."""
+"""Keeps the knowledge of the store fresh, by own reads or by peers' relays.
+
+One VM of each availability zone reads the store and the others of the zone ask
+it, so that the store's calls grow with zones and not with VMs.  A VM whose
+reader fails reads the store itself, and one that the store does not answer
+asks any peer.
+"""
 
 import asyncio
 import base64
@@ -38,6 +44,13 @@
 # Knowledge older than this in seconds is not relayed.
 RELAYED_AGE_S: typing.Final = 3.0
 
+# Time in seconds between questions of a VM to the reader of its availability
+# zone, the age up to which that reader's knowledge will do, and the time for
+# which a VM reads the store itself after a reader that failed.
+FOLLOW_EVERY_S: typing.Final = 0.4
+FOLLOWED_AGE_S: typing.Final = 2.0
+OWN_READS_S: typing.Final = 3.0
+
 KNOWLEDGE_PATH: typing.Final = '/knowledge'
 
 
@@ -84,11 +97,17 @@
         self.retry_s = FIRST_RETRY_S
         self.whole = False
         self.relay = ''
+        self.following = ''
+        self.follow_after = float('-inf')
 
     async def run_store(self) -> None:
         """Read the whole content once, then its changes, for ever."""
         while True:
             started = self.clock.now()
+            reader = self.zone_reader(started)
+            if reader and await self.follow(reader):
+                await asyncio.sleep(FOLLOW_EVERY_S)
+                continue
             fault = await self.read()
             if fault is None:
                 self.note_connected(True)
@@ -102,6 +121,44 @@
             await asyncio.sleep(self.retry_s * random.uniform(0.5, 1.0))
             self.retry_s = min(LONGEST_RETRY_S, self.retry_s * 2.0)
 
+    def zone_reader(self, now: float) -> str:
+        """Return the address of the VM that reads for this one, or nothing.
+
+        It is the first by name of the zone's VMs that are registered, and
+        nothing on that VM itself.
+        """
+        own = self.registration.own
+        live = self.members.live
+        if now < self.follow_after or own.vm not in live:
+            return ''
+        first = min(
+            row.vm
+            for row in live.values()
+            if row.availability_zone == own.availability_zone
+        )
+        return '' if first == own.vm else live[first].peers
+
+    async def follow(self, reader: str) -> bool:
+        """Take the reader's knowledge; return whether it is fresh enough."""
+        answered = await self.ask(reader)
+        now = self.clock.now()
+        if answered and self.table.age(now) < FOLLOWED_AGE_S:
+            if self.following != reader:
+                self.log.write(
+                    'following', peer=reader, age_s=self.age_field()
+                )
+            self.following = reader
+            return True
+        self.log.write(
+            'following_ended',
+            peer=reader,
+            answered=answered,
+            age_s=self.age_field(),
+        )
+        self.following = ''
+        self.follow_after = now + OWN_READS_S
+        return False
+
     async def read(self) -> _contracts.StoreFault | None:
         """Do one read; return its fault."""
         sent_at = self.clock.now()
@@ -144,7 +201,7 @@
             self.table.release(now)
             if self.table.age(now) > RELAY_AFTER_S:
                 await self.ask_peers()
-            elif self.relay and self.connected:
+            elif self.relay and (self.connected or self.following):
                 self.log.write('relay_ended', peer=self.relay)
                 self.relay = ''
             await asyncio.sleep(
@@ -170,7 +227,11 @@
     async def ask_peers(self) -> None:
         """Take the knowledge of the first peer that has any fresh."""
         for address in self.relays():
-            if await self.ask(address):
+            before = self.table.fresh_at
+            lease = self.registration.lease
+            if await self.ask(address, lease) and (
+                self.table.fresh_at > before
+            ):
                 if self.relay != address:
                     self.log.write(
                         'relay_started', peer=address, age_s=self.age_field()
@@ -179,13 +240,16 @@
                 return
         self.relay = ''
 
-    async def ask(self, address: str) -> bool:
-        """Take one peer's knowledge; return whether it was fresher."""
+    async def ask(self, address: str, lease: int = 0) -> bool:
+        """Take what a peer knows if it is fresher; return if it answered.
+
+        The peer renews the lease for this VM, which cannot reach the store.
+        """
         sent_at = self.clock.now()
         after = self.table.revision
         params = {
             'after': str(after),
-            'lease': str(self.registration.lease),
+            'lease': str(lease),
         }
         try:
             async with self.session.get(
@@ -219,7 +283,7 @@
             return False
         fresh_at = sent_at - doc['age_s']
         if fresh_at <= self.table.fresh_at:
-            return False
+            return True
         listing = _contracts.Listing(changes, doc['revision'])
         now = self.clock.now()
         if doc['partial']:
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -277,6 +277,51 @@
         self.assertTrue(await lonely.ask(self.peer_address))
         self.assertGreaterEqual(lonely.table.age(self.clock.now()), 2.5)
 
+    def join(self, one: _sync.Sync, *names: str) -> None:
+        """Register VMs of one zone in the eyes of a VM; v0 is the peer."""
+        for name in names:
+            row = samples.member(name)._replace(peers=self.peer_address)
+            one.members.live[name] = row
+
+    async def test_one_vm_of_a_zone_reads_for_the_others(self) -> None:
+        """Guards against calls to the store that grow with the VMs."""
+        self.standin.put('op/config', b'1')
+        self.run_soon(self.peer.run_store())
+        await self.until(lambda: 'op/config' in self.peer.table.items)
+        other = self.vm('v1', self.standin.address)
+        self.join(other, 'v0', 'v1')
+        other.read = self.fail  # type: ignore[method-assign]
+        self.run_soon(other.run_store())
+        await self.until(lambda: 'op/config' in other.table.items)
+        self.standin.put('op/config', b'2')
+        await self.until(lambda: other.table.items['op/config'].value == b'2')
+        self.assertLess(other.table.age(self.clock.now()), 2.5)
+
+    async def test_the_reader_itself_asks_the_store(self) -> None:
+        """Guards against a zone whose VMs all wait for each other."""
+        self.join(self.peer, 'v2', 'v3')
+        self.assertEqual(self.peer.zone_reader(0.0), '')
+
+    async def test_a_vm_reads_itself_when_its_reader_fails(self) -> None:
+        """Guards against knowledge that grows old with a dead reader."""
+        self.standin.put('op/config', b'1')
+        other = self.vm('v1', self.standin.address)
+        self.join(other, 'v0', 'v1')
+        dead = other.members.live['v0']._replace(peers='127.0.0.1:1')
+        other.members.live['v0'] = dead
+        self.run_soon(other.run_store())
+        await self.until(lambda: 'op/config' in other.table.items)
+
+    async def test_a_vm_reads_itself_when_its_reader_is_old(self) -> None:
+        """Guards against following a reader that the store turns away."""
+        self.standin.put('op/config', b'1')
+        now = self.clock.now()
+        self.peer.table.apply(entry.Listing((), 1), now - 2.4, now)
+        other = self.vm('v1', self.standin.address)
+        self.join(other, 'v0', 'v1')
+        self.run_soon(other.run_store())
+        await self.until(lambda: 'op/config' in other.table.items)
+
     async def test_old_knowledge_is_not_relayed(self) -> None:
         """Guards against a chain of relays that hides an outage."""
         self.peer.table.apply(
