--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -418,7 +418,8 @@
         requests when it has no room.
         """
         placement = self.state.placement
-        best = placement.best(question, now)
+        patience_s = PATIENCE_SHARE * admitted.route.target_s
+        best = placement.best(question, now, patience_s)
         if question.region is None:
             return best, question
         if best is not None and (
@@ -427,7 +428,7 @@
         ):
             return best, question
         anywhere = question._replace(region=None)
-        other = placement.best(anywhere, now)
+        other = placement.best(anywhere, now, patience_s)
         if other is None or (best is not None and not other.free):
             return best, question
         if best is not None and not self.state.regions.may_overflow(
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -32,9 +32,13 @@
 LIGHT_BYTES: typing.Final = 1000.0
 
 # Estimated extra time in seconds for each place further down in the
-# rendezvous order.
+# rendezvous order, of servers that are not known to have the object at hand.
+# A run there is longer now and leaves the object on one server more.
 RANK_S: typing.Final = 0.5
 
+# Cold runs that a failure costs: the repeat, and the chance that none is left.
+RISK_RUNS: typing.Final = 2.0
+
 # Probability that the first in rank has an object at hand that this VM did
 # not send there: other VMs rank it first too.
 FIRST_WARM: typing.Final = 0.5
@@ -203,9 +207,19 @@
             ]
         return chosen
 
-    def best(self, question: Question, now: float) -> Candidate | None:
-        """Return the server with the least estimate, None without any."""
+    def best(
+        self,
+        question: Question,
+        now: float,
+        patience_s: float = float('inf'),
+    ) -> Candidate | None:
+        """Return the server with the least estimate, None without any.
+
+        Servers with a longer wait than ``patience_s`` are chosen only if all
+        others have one too: no request is refused beside a free slot.
+        """
         best: Candidate | None = None
+        best_order = (True, float('inf'))
         places: dict[Distance, int] = {}
         size = self.times(question.route).bytes
         for row in self.candidates(question, now):
@@ -213,13 +227,15 @@
             place = places.get(group, 0)
             places[group] = place + 1
             found = self.estimate(row, question, size, place == 0, now)
-            found = found._replace(
-                estimate_s=found.estimate_s + place * RANK_S
-            )
+            if not found.warm:
+                found = found._replace(
+                    estimate_s=found.estimate_s + place * RANK_S
+                )
             if place == 0 and found.free and self.unused(row, now):
                 return found
-            if best is None or found.estimate_s < best.estimate_s:
-                best = found
+            order = (found.start_s > patience_s, found.estimate_s)
+            if best is None or order < best_order:
+                best, best_order = found, order
         return best
 
     def group(self, row: _servers.ServerRow, light: bool) -> Distance:
@@ -267,7 +283,7 @@
         if ahead > slots - 0.5:
             start_s = (ahead - slots + 1) * times.warm_s * row.slowness / slots
         # A failing server costs the time of the repeat on top.
-        risk_s = row.failures * times.cold_s
+        risk_s = row.failures * RISK_RUNS * times.cold_s
         return Candidate(
             row,
             self.network_s(distance, size) + start_s + run_s + risk_s,
