Test the splits at full slots with and without a line

A test of the splits took full slots for overload. Since the split moves only above full load (HIGH_LOAD 1.0), the case now has requests that wait, and a new test holds that full slots without a line move nothing.

--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -107,6 +107,24 @@
         warm.awaited = 12
         self.assertEqual(self.chosen(placement, question()), 's1')
 
+    def test_a_free_server_goes_before_a_line_beyond_patience(
+        self,
+    ) -> None:
+        """Guards against refusing a request beside a free slot."""
+        placement = self.placement(samples.server('s0'), samples.server('s1'))
+        warm = placement.table.rows['s0']
+        warm.note_object('x', 99.0)
+        warm.in_progress = 3
+        warm.awaited = 3
+        best = placement.best(question(), 100.0, patience_s=0.2)
+        assert best is not None
+        self.assertEqual(best.row.entry.server_id, 's1')
+        self.assertTrue(best.free)
+        placement.table.rows['s1'].in_progress = 20
+        best = placement.best(question(), 100.0, patience_s=0.2)
+        assert best is not None
+        self.assertFalse(best.free)
+
     def test_requests_of_other_vms_count(self) -> None:
         """Guards against several VMs filling the same slots twice."""
         placement = self.placement(samples.server('s0'))
--- a/tests/test_steering_regions.py
+++ b/tests/test_steering_regions.py
@@ -54,7 +54,8 @@
     def test_load_moves_the_split_slowly(self) -> None:
         """Guards against swings that exceed the bound on shifts."""
         for row in self.table.rows.values():
-            row.in_progress = 3 if row.region == 'a' else 0
+            # All slots are taken and a request waits for each server.
+            row.in_progress = 4 if row.region == 'a' else 0
         before = self.system.split('orders', 0.0).moved
         for step in range(1, 21):
             now = step * 0.1
@@ -63,6 +64,15 @@
         self.assertGreater(after, before)
         self.assertLess(after - before, samples.BOUNDS.shift_share)
 
+    def test_full_slots_without_a_line_move_nothing(self) -> None:
+        """Guards against cold runs elsewhere while nobody waits."""
+        for row in self.table.rows.values():
+            row.in_progress = 3 if row.region == 'a' else 0
+        before = self.system.split('orders', 0.0).moved
+        for step in range(1, 21):
+            self.system.tick(step * 0.1)
+        self.assertEqual(self.system.split('orders', 2.0).moved, before)
+
     def test_requests_return_when_the_region_has_room(self) -> None:
         """Guards against bytes between regions that nothing asks for."""
         self.system.split('orders', 0.0)
