Give back tokens of refused requests; bound bodies sent in chunks

From reading the change: a request that was refused for lack of a slot had spent a token of its account; a body without a length was not bounded; settings and rows held fields that nothing used. Each fault has a test. Counters of tries and of dropped log lines are served.

--- a/filbertstep/_metrics.py
+++ b/filbertstep/_metrics.py
@@ -66,6 +66,11 @@
             'Newest head index known.',
             registry=self.registry,
         )
+        self.log_lines_dropped = prometheus_client.Gauge(
+            'filbertstep_log_lines_dropped',
+            'Log lines that the reader of standard output was too slow for.',
+            registry=self.registry,
+        )
         self.running = prometheus_client.Gauge(
             'filbertstep_running_requests',
             'Requests on a backend server now.',
--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -30,16 +30,14 @@
 # leaves must stay until callers have asked again.
 LOOKUP_TTL_S: typing.Final = 1.0
 
-# Length of an answer's head that is built here, for headers of the request
-# whose sum is bounded: name, value, separators.
+# Bytes of a header beside its name and value: colon, space and line end.
 SEPARATORS: typing.Final = 4
 
 
-def server(handler: typing.Any, body_bytes: int = 1 << 40) -> web.Server:
+def server(handler: typing.Any) -> web.Server:
     """Return an HTTP server; Any: aiohttp's handler type is private."""
     return web.Server(
         handler,
-        request_factory=functools.partial(make_request, body_bytes),
         access_log=None,
         handler_cancellation=True,
         auto_decompress=False,
@@ -50,23 +48,6 @@
     )
 
 
-def make_request(body_bytes: int, *parts: typing.Any) -> web.BaseRequest:
-    """Return aiohttp's request; the body's bound is checked by the handler.
-
-    Any: the parts are aiohttp's and go on to it unchanged.
-    """
-    message, payload, protocol, writer, task = parts
-    return web.BaseRequest(
-        message,
-        payload,
-        protocol,
-        writer,
-        task,
-        asyncio.get_running_loop(),
-        client_max_size=body_bytes,
-    )
-
-
 class CallerListener:
     """Takes callers' requests; ``stopping`` closes connections politely."""
 
@@ -93,9 +74,10 @@
             if refused is not None:
                 return await self.send(request, refused)
             call = self.read_call(request, arrived)
-            work = asyncio.ensure_future(
-                self.system.serve(call, functools.partial(read, request))
+            read_body = functools.partial(
+                read, request, self.limits().body_bytes
             )
+            work = asyncio.ensure_future(self.system.serve(call, read_body))
             try:
                 reply = await asyncio.shield(work)
             except asyncio.CancelledError:
@@ -127,10 +109,14 @@
         if not self.system.at_server_once(call.request_id):
             work.cancel()
 
+    def limits(self) -> steering.Limits:
+        """Return the bounds of the configuration in force."""
+        configuration = self.state.configuration
+        return configuration.limits if configuration else steering.Limits()
+
     def over_limits(self, request: web.BaseRequest) -> _requests.Reply | None:
         """Refuse a head or body beyond the configured bounds."""
-        configuration = self.state.configuration
-        limits = configuration.limits if (configuration) else steering.Limits()
+        limits = self.limits()
         head = len(request.raw_path) + sum(
             len(name) + len(value) + SEPARATORS
             for name, value in request.raw_headers
@@ -228,10 +214,18 @@
         )
 
 
-async def read(request: web.BaseRequest) -> bytes:
-    """Read a request's body; a caller that breaks off ends the work."""
+async def read(request: web.BaseRequest, most: int) -> bytes | None:
+    """Read a request's body of up to ``most`` bytes, None if it is larger.
+
+    A caller that breaks off ends the work.
+    """
+    body = bytearray()
     try:
-        return await request.read()
+        async for piece in request.content.iter_any():
+            body += piece
+            if len(body) > most:
+                return None
+        return bytes(body)
     except (aiohttp.ClientError, ConnectionError) as error:
         raise asyncio.CancelledError from error
 
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -167,7 +167,7 @@
     Addresses are ``host:port``.  ``seeds`` are peers' addresses that may be
     stale.  ``regions`` maps availability zones to regions.
     ``first_start`` is set when the whole deployment starts for the first
-    time.  ``capacity`` weighs the VM in look-ups.
+    time.
     """
 
     vm: str
@@ -184,7 +184,6 @@
     store: str
     least_lease_s: float
     first_start: bool
-    capacity: float
     log_lines_per_s: float
     bounds: steering.Bounds
 
--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -41,7 +41,6 @@
     region: str
     callers: str
     peers: str
-    capacity: float
     lease: int
 
 
@@ -100,7 +99,6 @@
         region=doc['region'],
         callers=doc['callers'],
         peers=doc['peers'],
-        capacity=doc['capacity'],
         lease=doc['lease'],
     )
 
@@ -150,7 +148,6 @@
             'region': self.own.region,
             'callers': self.own.callers,
             'peers': self.own.peers,
-            'capacity': self.own.capacity,
             'lease': lease,
         }
         key = MEMBER_PREFIX + self.own.vm
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -77,7 +77,6 @@
             region=settings.region,
             callers=settings.callers,
             peers=settings.peers,
-            capacity=settings.capacity,
             lease=0,
         )
         self.session = aiohttp.ClientSession(
@@ -176,6 +175,7 @@
         age = self.state.knowledge.age(self.clock.now())
         self.counters.evidence_age.set(age)
         self.counters.head_index.set(self.state.knowledge.revision)
+        self.counters.log_lines_dropped.set(self.log.handler.dropped)
         return web.Response(
             body=self.counters.render(),
             headers={'Content-Type': 'text/plain; version=0.0.4'},
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -152,19 +152,23 @@
         self,
         call: Call,
         read_body: collections.abc.Callable[
-            [], collections.abc.Awaitable[bytes]
+            [], collections.abc.Awaitable[bytes | None]
         ],
     ) -> Reply:
-        """Answer a request."""
+        """Answer a request; ``read_body`` yields None for too large a body."""
         admitted = self.admit(call)
         if isinstance(admitted, Reply):
             return self.finish(call, admitted, None)
         body = await read_body()
+        if body is None:
+            refused = failed(ErrorKind.BODY_TOO_LARGE, 'the body is too large')
+            return self.finish(call, refused, admitted)
         refused = await self.spend(admitted)
         if refused is not None:
             return self.finish(call, refused, admitted)
         self.state.retries.note_request(admitted.service, self.clock.now())
         reply = await self.run(admitted, body)
+        self.settle(admitted, reply)
         return self.finish(call, reply, admitted)
 
     def admit(self, call: Call) -> Admitted | Reply:
@@ -239,6 +243,13 @@
             bounded_retry(quotas.wait_s(account, now)),
         )
 
+    def settle(self, admitted: Admitted, reply: Reply) -> None:
+        """Give back the token of a request that certainly did not run."""
+        if admitted.account is None or reply.failure is None:
+            return
+        if errors.ANSWERS[reply.failure.kind].ran is errors.Ran.NO:
+            self.state.quotas.give_back(admitted.account, self.clock.now())
+
     async def run(self, admitted: Admitted, body: bytes) -> Reply:
         """Try servers until one answers or no try is left."""
         tried: list[Try] = []
@@ -253,7 +264,7 @@
                 ),
                 admitted.region,
             )
-            candidate = await self.place(admitted, question, bool(tried))
+            candidate = await self.place(admitted, question)
             if isinstance(candidate, Reply):
                 if not tried:
                     return candidate
@@ -367,7 +378,7 @@
         return task
 
     async def place(
-        self, admitted: Admitted, question: steering.Question, again: bool
+        self, admitted: Admitted, question: steering.Question
     ) -> steering.Candidate | Reply:
         """Return a server with a place taken on it, or the refusal."""
         state, now = self.state, self.clock.now()
@@ -531,6 +542,8 @@
             row.note_shed(now)
         elif outcome.kind is not OutcomeKind.CANCELLED:
             row.note_failure(now, outcome.kind is OutcomeKind.NOT_SENT)
+        name = outcome.kind.name.lower()
+        self.counters.events.labels(f'try_{name}').inc()
         self.log.write(
             'try',
             id=admitted.call.request_id,
@@ -543,7 +556,7 @@
             in_progress=row.in_progress,
             others=round(row.others_now(now), 2),
             load=headers.get(self.dialect.load_header.lower()),
-            outcome=outcome.kind.name.lower(),
+            outcome=name,
             status=outcome.status,
             message=outcome.message,
         )
--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -14,7 +14,6 @@
 class BoundsDoc(typing.TypedDict):
     """Bounds of the deployment, in the platform's units (see the names)."""
 
-    drain_ms: float
     grace_s: float
     config_apply_ms: float
     revoke_ms: float
@@ -22,7 +21,6 @@
     budget_window_s: float
     budget_slack: float
     cold_over: float
-    cold_slack: float
     ttl_max_s: float
     shift_most: float
     quota_over: float
@@ -46,7 +44,6 @@
     store: str
     least_lease_ms: float
     first_start: bool
-    link_mbps: float
     log_lines_per_s: typing.NotRequired[
         typing.Annotated[float, msgspec.Meta(gt=0)]
     ]
@@ -93,10 +90,8 @@
             store=doc['store'],
             least_lease_s=doc['least_lease_ms'] / 1000,
             first_start=doc['first_start'],
-            capacity=doc['link_mbps'],
             log_lines_per_s=doc.get('log_lines_per_s', LOG_LINES_PER_S),
             bounds=steering.Bounds(
-                drain_s=bounds['drain_ms'] / 1000,
                 stop_s=bounds['grace_s'],
                 config_s=bounds['config_apply_ms'] / 1000,
                 key_withdrawal_s=bounds['revoke_ms'] / 1000,
@@ -104,7 +99,6 @@
                 retry_window_s=bounds['budget_window_s'],
                 retry_slack=bounds['budget_slack'],
                 cold_factor=bounds['cold_over'],
-                cold_slack=bounds['cold_slack'],
                 lookup_ttl_s=bounds['ttl_max_s'],
                 shift_share=bounds['shift_most'],
                 rate_over=bounds['quota_over'],
--- a/filbertstep/steering/_model.py
+++ b/filbertstep/steering/_model.py
@@ -100,9 +100,8 @@
 class Member(typing.NamedTuple):
     """An entry VM that serves callers.
 
-    ``callers`` and ``peers`` are ``host:port`` addresses, ``capacity`` is its
-    share of callers relative to other VMs, ``lease`` the lease under which
-    the store keeps the entry.
+    ``callers`` and ``peers`` are ``host:port`` addresses, ``lease`` is the
+    lease under which the store keeps the entry.
     """
 
     vm: str
@@ -111,7 +110,6 @@
     region: str
     callers: str
     peers: str
-    capacity: float
     lease: int
 
 
@@ -121,12 +119,11 @@
     Times are in seconds.  ``key_withdrawal_s`` bounds the age of knowledge on
     which a key may be accepted.  A service may get ``retry_ratio`` repeats
     per request and ``retry_slack`` besides within ``retry_window_s``.
-    A cold server may get ``cold_factor`` times its rate plus ``cold_slack``
-    requests in a second.  ``rate_over`` and ``rate_slack`` are by how much an
+    A cold server may get ``cold_factor`` times its rate in requests a second.
+    ``rate_over`` and ``rate_slack`` are by how much an
     account may exceed its rate and burst in a window.
     """
 
-    drain_s: float
     stop_s: float
     config_s: float
     key_withdrawal_s: float
@@ -134,7 +131,6 @@
     retry_window_s: float
     retry_slack: float
     cold_factor: float
-    cold_slack: float
     lookup_ttl_s: float
     shift_share: float
     rate_over: float
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -58,7 +58,7 @@
         self.credit = 0.0
         self.adjusted = now
         self.loads: dict[str, float] = {}
-        # Parts of the moved requests by region; they sum to 1.
+        # Parts of the moved requests by region, relative to each other.
         self.weights: dict[str, float] = {}
         self.region_credit: dict[str, float] = {}
         # Times of recent requests, and of those that overflowed.
--- a/tests/steering_samples.py
+++ b/tests/steering_samples.py
@@ -5,7 +5,6 @@
 from filbertstep import steering
 
 BOUNDS: typing.Final = steering.Bounds(
-    drain_s=2.0,
     stop_s=6.0,
     config_s=2.0,
     key_withdrawal_s=5.0,
@@ -13,7 +12,6 @@
     retry_window_s=10.0,
     retry_slack=62.0,
     cold_factor=1.5,
-    cold_slack=5.0,
     lookup_ttl_s=5.0,
     shift_share=0.15,
     rate_over=0.1,
@@ -93,7 +91,6 @@
         region=REGIONS[zone],
         callers=f'{vm}:80',
         peers=f'{vm}:81',
-        capacity=1000.0,
         lease=7,
     )
 
--- a/tests/test_entry_program.py
+++ b/tests/test_entry_program.py
@@ -61,7 +61,6 @@
             for name, port in zip(names, ports, strict=False)
         }
         bounds = {
-            'drain_ms': 2000,
             'grace_s': 3,
             'config_apply_ms': 2000,
             'revoke_ms': 5000,
@@ -69,7 +68,6 @@
             'budget_window_s': 10,
             'budget_ratio': 0.2,
             'cold_over': 1.5,
-            'cold_slack': 5,
             'ttl_max_s': 5,
             'shift_most': 0.15,
             'quota_over': 0.1,
@@ -241,15 +239,22 @@
 
     async def test_bodies_beyond_the_bound_are_refused(self) -> None:
         """Guards against bodies that fill the memory."""
-        async with self.session.post(
-            f'http://{self.at["front"]}/orders/1',
-            data=b'x' * 1001,
-            headers={
-                'Host': 'shop.example',
-                'Authorization': f'Bearer {KEY}',
-            },
-        ) as response:
-            self.assertEqual(response.status, 413)
+
+        async def pieces() -> typing.AsyncIterator[bytes]:
+            for _ in range(3):
+                yield b'x' * 400
+
+        for name, data in (('length', b'x' * 1001), ('chunks', pieces())):
+            with self.subTest(name=name):
+                async with self.session.post(
+                    f'http://{self.at["front"]}/orders/1',
+                    data=data,
+                    headers={
+                        'Host': 'shop.example',
+                        'Authorization': f'Bearer {KEY}',
+                    },
+                ) as response:
+                    self.assertEqual(response.status, 413)
         self.assertEqual(self.server.requests, [])
 
     async def test_a_stop_cuts_nothing(self) -> None:
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -84,7 +84,6 @@
             store='127.0.0.1:6',
             least_lease_s=1.0,
             first_start=True,
-            capacity=1.0,
             log_lines_per_s=100.0,
             bounds=samples.BOUNDS,
         )
@@ -394,6 +393,15 @@
         reply = await task
         self.assertEqual(reply.status, 200)
 
+    async def test_a_refused_request_costs_no_token(self) -> None:
+        """Guards against accounts over their rate that got nothing."""
+        self.build()
+        self.configure(accounts={'acme': samples.account(rate=1.0, burst=1.0)})
+        self.fill(12)
+        for _ in range(30):
+            reply = await self.serve()
+            self.assertEqual(self.kind(reply), errors.ErrorKind.NO_ROOM)
+
     async def test_no_server_is_refused_at_once(self) -> None:
         """Guards against waiting for servers that are all gone."""
         self.build()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -205,7 +205,6 @@
         'platform.address': '10.0.0.9:5',
         'platform.ttl_min_ms': 1000,
         'bootstrap': True,
-        'limits.link_mbps': 100.0,
         **changes,
     }
     text = (ROOT / 'deploy' / 'settings.json5').read_text(encoding='utf-8')
@@ -221,10 +220,10 @@
 
     def test_the_template_yields_settings(self) -> None:
         """Guards against a template and a decoder that differ."""
-        found = _settings.parse(rendered({'bounds.drain_ms': 2000})).unwrap()
+        found = _settings.parse(rendered({'bounds.revoke_ms': 2000})).unwrap()
         self.assertEqual(found.vm, 'vm-1')
         self.assertEqual(found.seeds, ('10.0.0.2:3',))
-        self.assertEqual(found.bounds.drain_s, 2.0)
+        self.assertEqual(found.bounds.key_withdrawal_s, 2.0)
         self.assertTrue(found.first_start)
 
     def test_faults_name_the_field(self) -> None:
