--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -161,8 +161,8 @@
             return self.finish(call, admitted, None)
         body = await read_body()
         if body is None:
-            refused = failed(ErrorKind.BODY_TOO_LARGE, 'the body is too large')
-            return self.finish(call, refused, admitted)
+            large = failed(ErrorKind.BODY_TOO_LARGE, 'the body is too large')
+            return self.finish(call, large, admitted)
         refused = await self.spend(admitted)
         if refused is not None:
             return self.finish(call, refused, admitted)
