--- a/filbertstep/delivery.py
+++ b/filbertstep/delivery.py
@@ -30,6 +30,7 @@
 from filbertstep._scrub import answer_headers as answer_headers
 from filbertstep._scrub import Credentials as Credentials
 from filbertstep._scrub import extract_key as extract_key
+from filbertstep._scrub import HOP_BY_HOP as HOP_BY_HOP
 from filbertstep._scrub import key_digest as key_digest
 from filbertstep._scrub import scrub as scrub
 from filbertstep._scrub import Scrubbed as Scrubbed
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -45,22 +45,12 @@
 # Statuses by which a server says that it failed after it ran the request.
 FAILED_STATUSES: typing.Final = frozenset({500, 502, 503, 504})
 
-# Headers that are not passed on to servers, or not to callers.
-CONNECTION_HEADERS: typing.Final = frozenset(
-    {
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'content-length',
-        'expect',
-    }
-)
+# Headers that are not passed on to servers, or not to callers: those of one
+# connection, and those that the HTTP library sets itself.
+CONNECTION_HEADERS: typing.Final = delivery.HOP_BY_HOP | {
+    'content-length',
+    'expect',
+}
 
 AskPeers = collections.abc.Callable[
     [steering.ClientAccount], collections.abc.Awaitable[float]
