--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import traceback
 import typing
 
 import aiohttp
@@ -16,6 +15,7 @@
 from filbertstep.entry import _contracts
 from filbertstep.entry import _requests
 from filbertstep.entry import _state
+from filbertstep.entry import _supervision
 
 # Bytes of one header or request line that the parser takes; the bound of the
 # configuration is checked on the whole head.
@@ -84,12 +84,11 @@
                 self.caller_left(call, work)
                 raise
             except Exception as error:
-                # The text of an unforeseen exception may hold a key.
                 self.system.log.write(
                     'internal_error',
                     id=call.request_id,
                     type=type(error).__name__,
-                    trace=traceback.format_tb(error.__traceback__)[-3:],
+                    trace=_supervision.frames(error),
                 )
                 reply = _requests.failed(
                     errors.ErrorKind.INTERNAL, 'internal error'
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -26,6 +26,7 @@
 from filbertstep.entry import _peers
 from filbertstep.entry import _requests
 from filbertstep.entry import _state
+from filbertstep.entry import _supervision
 from filbertstep.entry import _sync
 
 # Time in seconds between runs of the systems that work by time.
@@ -133,14 +134,15 @@
         loop.add_signal_handler(signal.SIGTERM, self.stop.set)
         loop.add_signal_handler(signal.SIGINT, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload, 'signal')
-        for work in (
-            self.sync.run_store(),
-            self.sync.run_relay(),
-            self.registration.run(),
-            self.tick(),
-            self.watch_settings(),
+        for name, work in (
+            ('store', self.sync.run_store),
+            ('relay', self.sync.run_relay),
+            ('registration', self.registration.run),
+            ('tick', self.tick),
+            ('settings', self.watch_settings),
         ):
-            self.tasks.append(asyncio.ensure_future(work))
+            running = _supervision.supervise(name, work, self.log)
+            self.tasks.append(asyncio.ensure_future(running))
         settings = self.settings
         caller_server = _callers.server(self.callers.handle)
         for address, server in (
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -15,6 +15,7 @@
 from filbertstep.entry import _knowledge
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
+from filbertstep.entry import _supervision
 from filbertstep.entry import _sync
 from filbertstep.platform import _store
 from tests import platform_store
@@ -161,6 +162,38 @@
         self.assertTrue(any(row['kind'] == 'failure' for row in rows))
 
 
+class TestSupervision(unittest.IsolatedAsyncioTestCase):
+    """Background work that raises."""
+
+    async def test_work_goes_on_after_a_fault(self) -> None:
+        """Guards against a VM that never reads the store again."""
+        lines = log(clock.FakeClock())
+        written: list[str] = []
+        lines.write = (  # type: ignore[method-assign]
+            lambda kind, **fields: written.append(str(fields))
+        )
+        runs = 0
+        secret = 'k' * 20
+
+        async def work() -> None:
+            nonlocal runs
+            runs += 1
+            if runs == 1:
+                raise ValueError(secret)
+            await asyncio.sleep(3600)
+
+        task = asyncio.ensure_future(
+            _supervision.supervise('store', work, lines)
+        )
+        async with asyncio.timeout(5):
+            while runs < 2:
+                await asyncio.sleep(0.05)
+        task.cancel()
+        (line,) = written
+        self.assertIn('ValueError', line)
+        self.assertNotIn(secret, line)
+
+
 class TestSync(unittest.IsolatedAsyncioTestCase):
     """Two VMs and a store that turns one of them away."""
 
