--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -151,7 +151,7 @@
                 (str(name), value) for name, value in headers.items()
             ),
             key=key.strip() if known_scheme else None,
-            thing=request.cookies.get(dialect.thing_cookie, ''),
+            affinity_key=request.cookies.get(dialect.affinity_cookie, ''),
             arrived=arrived,
             deadline=arrived + wait_s,
         )
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -146,7 +146,7 @@
     seal_header: str
     load_header: str
     retry_after_header: str
-    thing_cookie: str
+    affinity_cookie: str
 
     @abc.abstractmethod
     def read_lookup(
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -18,7 +18,7 @@
 # Part of a route's target that a request may wait on this VM for a slot.
 # Later, its answer would hardly meet the target, and the caller can use the
 # time that is left elsewhere.
-PATIENCE_SHARE: typing.Final = 0.5
+MAX_WAIT_SHARE: typing.Final = 0.5
 
 # Part of a route's target that a request waits in its region before another
 # region is considered.
@@ -70,7 +70,7 @@
     path: str
     headers: tuple[tuple[str, str], ...]
     key: str | None
-    thing: str
+    affinity_key: str
     arrived: float
     deadline: float
 
@@ -194,7 +194,7 @@
             min(call.deadline, call.arrived + route.timeout_s),
             # Homes leave no choice that could be kept steady.
             state.regions.choose(
-                service, call.thing if route.sticky else '', now
+                service, call.affinity_key if route.sticky else '', now
             )
             if homes is None
             else None,
@@ -247,7 +247,7 @@
             question = steering.Question(
                 admitted.route,
                 admitted.service,
-                admitted.call.thing if admitted.route.sticky else '',
+                admitted.call.affinity_key if admitted.route.sticky else '',
                 admitted.homes,
                 frozenset(
                     item.candidate.row.entry.server_id for item in tried
@@ -384,15 +384,15 @@
             steering.reserve(best, now)
             return best
         target = admitted.call.arrived + admitted.route.target_s
-        patience_s = PATIENCE_SHARE * admitted.route.target_s
-        if not best.free and best.start_s > patience_s:
+        max_wait_s = MAX_WAIT_SHARE * admitted.route.target_s
+        if not best.free and best.start_s > max_wait_s:
             return self.no_room(best.start_s)
         waiter = steering.Waiter(
             question,
             priority(admitted),
             now,
             target,
-            min(now + patience_s, admitted.ends - LEAST_TRY_S),
+            min(now + max_wait_s, admitted.ends - LEAST_TRY_S),
         )
         state.waiting.add(waiter)
         state.waiting.run(question.service, now)
@@ -419,8 +419,8 @@
         requests when it has no room.
         """
         placement = self.state.placement
-        patience_s = PATIENCE_SHARE * admitted.route.target_s
-        best = placement.best(question, now, patience_s)
+        max_wait_s = MAX_WAIT_SHARE * admitted.route.target_s
+        best = placement.best(question, now, max_wait_s)
         if question.region is None:
             return best, question
         if best is not None and (
@@ -429,7 +429,7 @@
         ):
             return best, question
         anywhere = question._replace(region=None)
-        other = placement.best(anywhere, now, patience_s)
+        other = placement.best(anywhere, now, max_wait_s)
         if other is None or (best is not None and not other.free):
             return best, question
         if best is not None and not self.state.regions.may_overflow(
@@ -456,8 +456,8 @@
         """Send a request to the server on which a place was taken."""
         row = candidate.row
         sent_at = self.clock.now()
-        if question.thing:
-            row.note_object(question.thing, sent_at)
+        if question.affinity_key:
+            row.note_object(question.affinity_key, sent_at)
         path, _, query = admitted.call.path.partition('?')
         attempt = delivery.Attempt(
             server=row.entry.address,
@@ -539,7 +539,7 @@
             id=admitted.call.request_id,
             server=row.entry.server_id,
             availability_zone=row.entry.availability_zone,
-            thing=question.thing,
+            affinity_key=question.affinity_key,
             warm=candidate.warm,
             estimate_s=round(candidate.estimate_s, 3),
             took_s=round(took_s, 3),
--- a/filbertstep/platform/_adapter.py
+++ b/filbertstep/platform/_adapter.py
@@ -26,7 +26,7 @@
     seal_header = 'X-Server-Seal'
     load_header = 'X-Server-Load'
     retry_after_header = 'Retry-After'
-    thing_cookie = 'X-Affinity-Key'
+    affinity_cookie = 'X-Affinity-Key'
 
     def read_lookup(
         self, query: collections.abc.Mapping[str, str]
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -107,7 +107,8 @@
 class Question(typing.NamedTuple):
     """A request to be placed.
 
-    ``thing`` names the object that the request concerns, empty for none.
+    ``affinity_key`` names the object that the request concerns, empty for
+    none.
     ``homes`` None or empty allows all regions.  ``tried`` holds the ids of
     servers that had the request before.  ``region`` limits the choice to one
     region, None to none.
@@ -115,7 +116,7 @@
 
     route: _model.Route
     service: str
-    thing: str
+    affinity_key: str
     homes: frozenset[str] | None
     tried: frozenset[str] = frozenset()
     region: str | None = None
@@ -190,7 +191,7 @@
         for rows in groups.values():
             rows.sort(
                 key=lambda row: _routes.rank(
-                    row.entry.server_id, question.thing
+                    row.entry.server_id, question.affinity_key
                 ),
                 reverse=True,
             )
@@ -203,7 +204,8 @@
             chosen += [
                 row
                 for row in ready[RANKED_SERVERS:]
-                if question.thing and row.is_warm(question.thing, now)
+                if question.affinity_key
+                and row.is_warm(question.affinity_key, now)
             ]
         return chosen
 
@@ -211,11 +213,11 @@
         self,
         question: Question,
         now: float,
-        patience_s: float = float('inf'),
+        max_wait_s: float = float('inf'),
     ) -> Candidate | None:
         """Return the server with the least estimate, None without any.
 
-        Servers with a longer wait than ``patience_s`` are chosen only if all
+        Servers with a longer wait than ``max_wait_s`` are chosen only if all
         others have one too: no request is refused beside a free slot.
         """
         best: Candidate | None = None
@@ -233,7 +235,7 @@
                 )
             if place == 0 and found.free and self.unused(row, now):
                 return found
-            order = (found.start_s > patience_s, found.estimate_s)
+            order = (found.start_s > max_wait_s, found.estimate_s)
             if best is None or order < best_order:
                 best, best_order = found, order
         return best
@@ -268,9 +270,11 @@
         times = self.times(question.route)
         distance = self.distance(row)
         row.age_experience(now)
-        warm = bool(question.thing) and row.is_warm(question.thing, now)
+        warm = bool(question.affinity_key) and row.is_warm(
+            question.affinity_key, now
+        )
         chance = 1.0 if warm else 0.0
-        if first and question.thing and not warm:
+        if first and question.affinity_key and not warm:
             chance = FIRST_WARM
         run_s = times.expected(chance) * row.slowness
         slots = max(1, row.entry.slots)
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -110,7 +110,7 @@
         fair = total / len(set(self.table.regions.values()))
         return max(0.0, 1.0 - slots.get(self.region, 0) / fair / FIRST_LOAD)
 
-    def choose(self, service: str, thing: str, now: float) -> str:
+    def choose(self, service: str, affinity_key: str, now: float) -> str:
         """Return the region of a request that may go anywhere."""
         split = self.split(service, now)
         split.prune(now)
@@ -118,7 +118,7 @@
         split.credit += split.moved
         if split.credit < 1.0:
             return self.region
-        other = self.other(service, thing, split)
+        other = self.other(service, affinity_key, split)
         if other is None:
             split.credit = 1.0
             return self.region
@@ -126,7 +126,7 @@
         return other
 
     def other(
-        self, service: str, thing: str, split: ServiceSplit
+        self, service: str, affinity_key: str, split: ServiceSplit
     ) -> str | None:
         """Return another region, by the weights of the moved requests.
 
@@ -145,7 +145,7 @@
         for region, weight in weights.items():
             known = split.region_credit.get(region, 0.0)
             split.region_credit[region] = known + weight / total
-        chosen = preferred(weights, thing)
+        chosen = preferred(weights, affinity_key)
         furthest = max(weights, key=lambda name: split.region_credit[name])
         if split.region_credit[furthest] > LAG:
             chosen = furthest
@@ -228,7 +228,9 @@
         split.weights[least] = split.weights.get(least, 0.0) + part
 
 
-def preferred(weights: collections.abc.Mapping[str, float], thing: str) -> str:
+def preferred(
+    weights: collections.abc.Mapping[str, float], affinity_key: str
+) -> str:
     """Return the region of an object, in proportion to the weights.
 
     Weighted rendezvous hashing: a change of weights moves few objects.
@@ -237,7 +239,7 @@
     for region, weight in weights.items():
         if weight <= 0:
             continue
-        point = (_routes.rank(region, thing) + 1) / HASHES
+        point = (_routes.rank(region, affinity_key) + 1) / HASHES
         score = weight / -math.log(point)
         if score > highest:
             best, highest = region, score
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -144,7 +144,7 @@
                 ('X-Hop', 'dropped'),
             ),
             key=KEY,
-            thing='x',
+            affinity_key='x',
             arrived=now,
             deadline=now + 3.0,
         )._replace(**changes)
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -7,11 +7,13 @@
 from tests import steering_samples as samples
 
 
-def question(thing: str = 'x', **changes: typing.Any) -> steering.Question:
+def question(
+    affinity_key: str = 'x', **changes: typing.Any
+) -> steering.Question:
     """Return a question for one object; Any: fields of several types."""
-    return steering.Question(samples.route(), 'orders', thing, None)._replace(
-        **changes
-    )
+    return steering.Question(
+        samples.route(), 'orders', affinity_key, None
+    )._replace(**changes)
 
 
 class PlacementCase(unittest.TestCase):
@@ -44,11 +46,11 @@
         ids = [f's{number}' for number in range(6)]
         one = self.placement(*(samples.server(item) for item in ids))
         other = self.placement(*(samples.server(item) for item in ids[::-1]))
-        for thing in ('1', '2', '3', '4'):
-            with self.subTest(thing=thing):
+        for affinity_key in ('1', '2', '3', '4'):
+            with self.subTest(affinity_key=affinity_key):
                 self.assertEqual(
-                    self.chosen(one, question(thing)),
-                    self.chosen(other, question(thing)),
+                    self.chosen(one, question(affinity_key)),
+                    self.chosen(other, question(affinity_key)),
                 )
 
     def test_a_warm_server_goes_before_the_first_in_rank(self) -> None:
@@ -65,8 +67,10 @@
             samples.server('near'),
             *(samples.server(f'far{n}', 'a-2') for n in range(4)),
         )
-        for thing in ('1', '2', '3'):
-            self.assertEqual(self.chosen(placement, question(thing)), 'near')
+        for affinity_key in ('1', '2', '3'):
+            self.assertEqual(
+                self.chosen(placement, question(affinity_key)), 'near'
+            )
 
     def test_light_requests_rank_all_zones_of_the_region(self) -> None:
         """Guards against warming each zone for answers of a few bytes."""
@@ -107,7 +111,7 @@
         warm.awaited = 12
         self.assertEqual(self.chosen(placement, question()), 's1')
 
-    def test_a_free_server_goes_before_a_line_beyond_patience(
+    def test_a_free_server_goes_before_a_line_beyond_the_longest_wait(
         self,
     ) -> None:
         """Guards against refusing a request beside a free slot."""
@@ -116,12 +120,12 @@
         warm.note_object('x', 99.0)
         warm.in_progress = 3
         warm.awaited = 3
-        best = placement.best(question(), 100.0, patience_s=0.2)
+        best = placement.best(question(), 100.0, max_wait_s=0.2)
         assert best is not None
         self.assertEqual(best.row.entry.server_id, 's1')
         self.assertTrue(best.free)
         placement.table.rows['s1'].in_progress = 20
-        best = placement.best(question(), 100.0, patience_s=0.2)
+        best = placement.best(question(), 100.0, max_wait_s=0.2)
         assert best is not None
         self.assertFalse(best.free)
 
--- a/tests/test_steering_regions.py
+++ b/tests/test_steering_regions.py
@@ -94,9 +94,9 @@
         self.system.split('orders', 0.0).moved = 1.0
         places: dict[str, collections.Counter[str]] = {}
         for number in range(960):
-            thing = str(number % 24)
-            region = self.system.choose('orders', thing, number * 0.01)
-            places.setdefault(thing, collections.Counter())[region] += 1
+            affinity_key = str(number % 24)
+            region = self.system.choose('orders', affinity_key, number * 0.01)
+            places.setdefault(affinity_key, collections.Counter())[region] += 1
         kept = sum(max(found.values()) for found in places.values())
         self.assertGreater(kept / 960, 0.8)
 
