--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -139,7 +139,9 @@
     async def register(self) -> bool:
         """Write this VM's keys under a new lease."""
         granted = await self.store.grant_lease(LEASE_S)
-        if isinstance(granted, result.Err) or self.stopping:
+        if isinstance(granted, result.Err):
+            return self.failed('grant', granted.err_value)
+        if self.stopping:
             return False
         lease = granted.ok_value
         doc: MemberDoc = {
@@ -154,13 +156,13 @@
         if not self.counted:
             counted = await self.store.write({FLEET_PREFIX + self.own.vm: b''})
             if isinstance(counted, result.Err):
-                return False
+                return self.failed('count', counted.err_value)
             self.counted = True
         written = await self.store.write(
             {key: msgspec.json.encode(doc)}, lease=lease
         )
         if isinstance(written, result.Err):
-            return False
+            return self.failed('write', written.err_value)
         self.lease = lease
         self.registered = True
         self.log.write('registered', lease=lease)
@@ -175,6 +177,12 @@
             self.log.write('lease_lost', lease=self.lease)
             self.lease = 0
             self.counted = self.own.vm in self.table.fleet
+            return False
+        return self.failed('renew', kept.err_value)
+
+    def failed(self, step: str, fault: _contracts.StoreFault) -> bool:
+        """Log a call that had no result; it is tried again."""
+        self.log.write('registration_failed', step=step, fault=fault.value)
         return False
 
     async def sweep(self) -> None:
@@ -185,11 +193,22 @@
         if min(self.table.live, default='') != self.own.vm:
             return
         for name, revision in self.table.departed(self.clock.now()):
-            await self.store.delete_unchanged(FLEET_PREFIX + name, revision)
-            self.log.write('departed_vm_removed', name=name)
+            removed = await self.store.delete_unchanged(
+                FLEET_PREFIX + name, revision
+            )
+            # A conflict: the VM is back, or another one removed its key.
+            fault = (
+                removed.err_value.value
+                if isinstance(removed, result.Err)
+                else None
+            )
+            self.log.write('departed_vm_removed', name=name, fault=fault)
 
     async def leave(self) -> None:
         """Leave look-ups; callers' next answers do not name this VM."""
         self.stopping = True
         if self.lease:
-            await self.store.end_lease(self.lease)
+            ended = await self.store.end_lease(self.lease)
+            if isinstance(ended, result.Err):
+                # The lease ends by itself a few seconds later.
+                self.failed('leave', ended.err_value)
--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -6,6 +6,7 @@
 import aiohttp
 from aiohttp import web
 import msgspec
+import result
 
 from filbertstep import clock
 from filbertstep import steering
@@ -41,12 +42,14 @@
         sync: _sync.Sync,
         store: _contracts.WatchedStore,
         time_source: clock.Clock,
+        log: _log.DecisionLog,
     ) -> None:
         self.state = state
         self.sync = sync
         self.store = store
         self.clock = time_source
-        self.keeping: set[asyncio.Task[object]] = set()
+        self.log = log
+        self.keeping: set[asyncio.Task[None]] = set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one question."""
@@ -64,15 +67,23 @@
             return web.Response(status=503)
         lease = request.query.get('lease', '')
         if lease.isdigit() and int(lease) > 0:
-            task: asyncio.Task[object] = asyncio.ensure_future(
-                self.store.keep_lease(int(lease))
-            )
+            task = asyncio.ensure_future(self.keep(int(lease)))
             self.keeping.add(task)
             task.add_done_callback(self.keeping.discard)
         return web.Response(
             body=msgspec.json.encode(doc), content_type='application/json'
         )
 
+    async def keep(self, lease: int) -> None:
+        """Renew a peer's lease; the peer asks again if that fails."""
+        kept = await self.store.keep_lease(lease)
+        if isinstance(kept, result.Err):
+            self.log.write(
+                'relayed_lease_failed',
+                lease=lease,
+                fault=kept.err_value.value,
+            )
+
     def tokens(self, body: bytes) -> web.Response:
         """Give spare tokens of an account to a peer."""
         try:
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -123,7 +123,7 @@
             self.state, self.own, dialect, self.callers, self.clock
         )
         self.peers = _peers.PeerListener(
-            self.state, self.sync, self.store, self.clock
+            self.state, self.sync, self.store, self.clock, self.log
         )
         self.listeners: list[asyncio.Server] = []
         self.tasks: list[asyncio.Task[None]] = []
--- a/filbertstep/platform/_store.py
+++ b/filbertstep/platform/_store.py
@@ -98,7 +98,10 @@
         body: object = None,
         wait_s: float = 0.0,
     ) -> entry.StoreFault | Doc:
-        """Do one call; return its fault or the decoded answer."""
+        """Do one call; return its fault or the decoded answer.
+
+        The caller logs the fault with what it was about to do.
+        """
         try:
             async with self.session.request(
                 method,
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -374,6 +374,20 @@
         await self.until(lambda: 'v2' in self.peer.members.live)
         self.assertEqual(self.peer.members.parts('v2'), 1)
 
+    async def test_a_failed_registration_is_logged(self) -> None:
+        """Guards against a VM that no look-up names and no line explains."""
+        written: list[str] = []
+        registration = self.peer.registration
+        registration.log.write = (  # type: ignore[method-assign]
+            lambda kind, **fields: written.append(f'{kind} {fields}')
+        )
+        self.standin.status = 503
+        self.assertFalse(await registration.register())
+        self.assertEqual(
+            written,
+            ["registration_failed {'step': 'grant', 'fault': 'refused'}"],
+        )
+
     async def test_a_vm_that_leaves_is_named_no_more(self) -> None:
         """Guards against callers sent to a VM that stops."""
         self.run_soon(self.peer.run_store())
