--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -130,23 +130,21 @@
         self, subject: _contracts.Subject, fact: steering.ServerEntry | None
     ) -> None:
         """Take a backend server's entry."""
-        now = self.clock.now()
-        known = self.servers.rows.get(subject.name)
+        row = self.servers.rows.get(subject.name)
+        # The row takes the new entry, so the former one is kept here.
+        known = row.entry if row else None
         if fact is None:
             self.servers.remove(subject.name)
         else:
-            self.servers.put(fact, now)
-        before = known.entry.draining if known else None
+            self.servers.put(fact, self.clock.now())
+        shown = fact or known
+        before = known.draining if known else None
         after = fact.draining if fact else None
         if before != after:
             self.log.write(
                 'server',
                 server=subject.name,
-                service=fact.service
-                if fact
-                else known.entry.service
-                if known
-                else None,
+                service=shown.service if shown else None,
                 draining=after,
                 before=before,
                 cold_left_s=fact.cold_left_s if fact else None,
@@ -157,9 +155,8 @@
     ) -> None:
         """Begin or end the evacuation of an availability zone."""
         if fact is None:
-            services = (
-                self.configuration.services if (self.configuration) else {}
-            )
+            known = self.configuration
+            services = known.services if known else {}
             self.servers.take_back(subject.name, self.clock.now(), services)
         else:
             self.servers.evacuate(subject.name)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -7,6 +7,7 @@
 from filbertstep import clock
 from filbertstep import errors
 from filbertstep import trace
+from filbertstep.entry import _contracts
 from filbertstep.entry import _log
 from tests import steering_samples as samples
 from tests import test_entry_requests as requests
@@ -55,6 +56,17 @@
         self.assertIn('server=s', found)
         self.assertIn(errors.ErrorKind.BACKEND_FAILED.value, found)
 
+    async def test_a_server_that_leaves(self) -> None:
+        """Guards against a drain of which no line tells."""
+        self.build_logged()
+        subject = _contracts.Subject(_contracts.SubjectKind.SERVER, 's0')
+        for entry in (samples.server('s0', draining=True), None):
+            self.state.take_server(subject, entry)
+        await self.serve(request_id='next')
+        found = self.shown('next')
+        self.assertIn('server=s0 service=orders draining=True', found)
+        self.assertIn('before=True', found)
+
     async def test_a_key_that_an_old_configuration_lacks(self) -> None:
         """Guards against a refusal without the age of what was known."""
         self.build_logged()
