Split the way of a request into admission, tries and messages

A server's own answer was found by two loops that differed in nothing, the headers that servers get in this system's form were collected for each request, and the log was handed to each class beside the state that holds it. No behaviour changed; the tests keep their assertions.

--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -13,6 +13,7 @@
 from filbertstep import errors
 from filbertstep import steering
 from filbertstep.entry import _contracts
+from filbertstep.entry import _messages
 from filbertstep.entry import _requests
 from filbertstep.entry import _state
 from filbertstep.entry import _supervision
@@ -84,13 +85,13 @@
                 self.caller_left(call, work)
                 raise
             except Exception as error:
-                self.system.log.write(
+                self.state.log.write(
                     'internal_error',
                     id=call.request_id,
                     type=type(error).__name__,
                     trace=_supervision.frames(error),
                 )
-                reply = _requests.failed(
+                reply = _messages.failed(
                     errors.ErrorKind.INTERNAL, 'internal error'
                 )
             return await self.send(request, reply)
@@ -98,7 +99,7 @@
             self.running -= 1
 
     def caller_left(
-        self, call: _requests.Call, work: asyncio.Future[_requests.Reply]
+        self, call: _messages.Call, work: asyncio.Future[_messages.Reply]
     ) -> None:
         """End the work for a caller who has closed the connection.
 
@@ -113,7 +114,7 @@
         configuration = self.state.configuration
         return configuration.limits if configuration else steering.Limits()
 
-    def over_limits(self, request: web.BaseRequest) -> _requests.Reply | None:
+    def over_limits(self, request: web.BaseRequest) -> _messages.Reply | None:
         """Refuse a head or body beyond the configured bounds."""
         limits = self.limits()
         head = len(request.raw_path) + sum(
@@ -121,19 +122,19 @@
             for name, value in request.raw_headers
         )
         if head > limits.head_bytes:
-            return _requests.failed(
+            return _messages.failed(
                 errors.ErrorKind.HEAD_TOO_LARGE, 'the head is too large'
             )
         length = request.content_length
         if length is not None and length > limits.body_bytes:
-            return _requests.failed(
+            return _messages.failed(
                 errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
             )
         return None
 
     def read_call(
         self, request: web.BaseRequest, arrived: float
-    ) -> _requests.Call:
+    ) -> _messages.Call:
         """Return what the request asks for."""
         dialect, headers = self.dialect, request.headers
         wait_s = _requests.DEFAULT_DEADLINE_S
@@ -142,7 +143,7 @@
             wait_s = int(told) / 1000
         scheme, _, key = headers.get(dialect.key_header, '').partition(' ')
         known_scheme = scheme.lower() == dialect.key_scheme.lower()
-        return _requests.Call(
+        return _messages.Call(
             request_id=headers.get(dialect.request_id_header, ''),
             method=request.method,
             host=headers.get('Host', ''),
@@ -157,7 +158,7 @@
         )
 
     async def send(
-        self, request: web.BaseRequest, reply: _requests.Reply
+        self, request: web.BaseRequest, reply: _messages.Reply
     ) -> web.StreamResponse:
         """Write an answer; a cut stream ends the connection."""
         if reply.failure is not None:
@@ -190,7 +191,7 @@
 
     def failure_reply(
         self, request: web.BaseRequest, failure: errors.Failure
-    ) -> _requests.Reply:
+    ) -> _messages.Reply:
         """Return the answer for a failure of this system."""
         headers = [
             ('Content-Type', 'application/json'),
@@ -206,7 +207,7 @@
                     f'{failure.retry_after_s:g}',
                 )
             )
-        return _requests.Reply(
+        return _messages.Reply(
             errors.ANSWERS[failure.kind].status,
             tuple(headers),
             msgspec.json.encode(errors.error_body(failure)),
--- /dev/null
+++ b/filbertstep/entry/_messages.py
@@ -0,0 +1,93 @@
+"""What the entry program passes on between callers and backend servers."""
+
+import collections.abc
+import typing
+
+from filbertstep import delivery
+from filbertstep import errors
+from filbertstep import steering
+
+# Longest and shortest Retry-After in seconds.
+LONGEST_RETRY_S: typing.Final = 2.0
+SHORTEST_RETRY_S: typing.Final = 0.1
+
+# Headers that are not passed on to servers, or not to callers: those of one
+# connection, and those that the HTTP library sets itself.
+CONNECTION_HEADERS: typing.Final = delivery.HOP_BY_HOP | {
+    'content-length',
+    'expect',
+}
+
+
+class Call(typing.NamedTuple):
+    """A caller's request, its body read.
+
+    Times are those of the VM's clock; ``deadline`` is when the caller stops
+    waiting.  ``path`` is encoded and includes the query.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    key: str | None
+    affinity_key: str
+    arrived: float
+    deadline: float
+
+
+class Reply(typing.NamedTuple):
+    """An answer: a server's own, or a failure of this system."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    stream: delivery.AnswerStream | None = None
+    failure: errors.Failure | None = None
+
+
+class Admitted(typing.NamedTuple):
+    """A request that may run; ``account`` None on a public route."""
+
+    call: Call
+    route: steering.Route
+    account: steering.ClientAccount | None
+    service: str
+    homes: frozenset[str] | None
+    ends: float
+    region: str | None
+
+
+def failed(
+    kind: errors.ErrorKind, message: str, retry_after_s: float | None = None
+) -> Reply:
+    """Return the reply for a failure."""
+    failure = errors.Failure(kind, message, retry_after_s)
+    return Reply(errors.ANSWERS[kind].status, (), b'', failure=failure)
+
+
+def bounded_retry(seconds: float) -> float:
+    """Return a Retry-After within its bounds."""
+    return round(
+        min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, seconds)),
+        2,
+    )
+
+
+def passed_on(
+    headers: collections.abc.Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return headers without those that concern one connection only."""
+    rows = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in rows
+        if name.lower() == 'connection'
+        for token in value.split(',')
+    }
+    return [
+        (name, value)
+        for name, value in rows
+        if name.lower() not in CONNECTION_HEADERS and name.lower() not in named
+    ]
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -28,6 +28,7 @@
 from filbertstep.entry import _state
 from filbertstep.entry import _supervision
 from filbertstep.entry import _sync
+from filbertstep.entry import _tries
 
 # Time in seconds between runs of the systems that work by time.
 TICK_S: typing.Final = 0.05
@@ -110,10 +111,10 @@
         )
         self.requests = _requests.RequestSystem(
             self.state,
-            self.forwarder,
-            dialect,
+            _tries.TrySystem(
+                self.state, self.forwarder, dialect, self.counters
+            ),
             self.counters,
-            self.log,
             asker.ask,
         )
         self.callers = _callers.CallerListener(
--- /dev/null
+++ b/filbertstep/entry/_tries.py
@@ -0,0 +1,287 @@
+"""Tries of a request at backend servers, and what is learned from them."""
+
+import asyncio
+import typing
+
+from filbertstep import delivery
+from filbertstep import metrics
+from filbertstep import steering
+from filbertstep.entry import _contracts
+from filbertstep.entry import _messages
+from filbertstep.entry import _state
+
+OutcomeKind = delivery.OutcomeKind
+
+# Multiple of the estimated time after which an idempotent request without an
+# answer is sent to a second server as well, and the least such time.
+HEDGE_FACTOR: typing.Final = 2.5
+LEAST_HEDGE_S: typing.Final = 0.25
+
+# Statuses by which a server says that it failed after it ran the request.
+FAILED_STATUSES: typing.Final = frozenset({500, 502, 503, 504})
+
+# Run time in seconds that is assumed of any request at least.
+LEAST_RUN_S: typing.Final = 0.001
+
+
+class Try(typing.NamedTuple):
+    """A finished try at a server."""
+
+    candidate: steering.Candidate
+    outcome: delivery.Outcome
+
+
+class TrySystem:
+    """Sends requests of one VM to the servers on which places were taken."""
+
+    def __init__(
+        self,
+        state: _state.State,
+        forwarder: delivery.Forwarder,
+        dialect: _contracts.Dialect,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.state = state
+        self.clock = state.clock
+        self.forwarder = forwarder
+        self.dialect = dialect
+        self.counters = counters
+        # Headers of callers that servers get in this system's own form.
+        self.own_headers = frozenset(
+            name.lower()
+            for name in (
+                dialect.key_header,
+                dialect.account_header,
+                dialect.expected_server_header,
+                dialect.deadline_header,
+                dialect.request_id_header,
+            )
+        )
+        # Ids of non-idempotent requests that a server has.
+        self.at_server: set[str] = set()
+
+    async def run(
+        self,
+        admitted: _messages.Admitted,
+        question: steering.Question,
+        candidate: steering.Candidate,
+        body: bytes,
+        again: bool,
+    ) -> list[Try]:
+        """Send a request, to a second server too if the first is silent.
+
+        Only for requests that may run twice and were not repeated before.
+        Returns the finished tries, the one that decides last; the others are
+        cancelled.
+        """
+        first = self.start(admitted, question, candidate, body)
+        running = {first}
+        done: list[Try] = []
+        try:
+            if admitted.route.idempotent and admitted.route.attempts > 1:
+                if not again:
+                    second = await self.hedge(
+                        admitted, question, candidate, body, first
+                    )
+                    if second is not None:
+                        running.add(second)
+            while running:
+                finished, running = await asyncio.wait(
+                    running, return_when=asyncio.FIRST_COMPLETED
+                )
+                done += [task.result() for task in finished]
+                if any(succeeded(item.outcome) for item in done):
+                    break
+            done.sort(key=lambda item: succeeded(item.outcome))
+            return done
+        finally:
+            for task in {first, *running}:
+                task.cancel()
+
+    async def hedge(
+        self,
+        admitted: _messages.Admitted,
+        question: steering.Question,
+        candidate: steering.Candidate,
+        body: bytes,
+        first: asyncio.Task[Try],
+    ) -> asyncio.Task[Try] | None:
+        """Start a second try if the first takes much longer than expected."""
+        wait_s = max(LEAST_HEDGE_S, HEDGE_FACTOR * candidate.estimate_s)
+        finished, _ = await asyncio.wait({first}, timeout=wait_s)
+        now = self.clock.now()
+        if finished:
+            return None
+        expected_s = max(LEAST_RUN_S, candidate.run_s / candidate.row.slowness)
+        candidate.row.note_slow(wait_s / expected_s, now)
+        other = question._replace(
+            tried=frozenset({candidate.row.entry.server_id})
+        )
+        best = self.state.placement.best(other, now)
+        if best is None or not best.free:
+            return None
+        if admitted.ends - now < best.estimate_s:
+            return None
+        if not self.state.retries.take(admitted.service, now):
+            return None
+        steering.reserve(best, now)
+        self.state.log.write(
+            'hedge',
+            id=admitted.call.request_id,
+            server=best.row.entry.server_id,
+            after_s=round(wait_s, 3),
+        )
+        return self.start(admitted, other, best, body)
+
+    def start(
+        self,
+        admitted: _messages.Admitted,
+        question: steering.Question,
+        candidate: steering.Candidate,
+        body: bytes,
+    ) -> asyncio.Task[Try]:
+        """Start a try on a reserved place, which its end gives back.
+
+        A task that is cancelled before its first step runs none of its code,
+        so the place is given back by a callback.
+        """
+        task = asyncio.ensure_future(
+            self.attempt(admitted, question, candidate, body)
+        )
+
+        def release(_: object) -> None:
+            candidate.row.in_progress -= 1
+            self.state.waiting.run(question.service, self.clock.now())
+
+        task.add_done_callback(release)
+        return task
+
+    async def attempt(
+        self,
+        admitted: _messages.Admitted,
+        question: steering.Question,
+        candidate: steering.Candidate,
+        body: bytes,
+    ) -> Try:
+        """Send a request to the server on which a place was taken."""
+        row = candidate.row
+        sent_at = self.clock.now()
+        if question.affinity_key:
+            row.note_object(question.affinity_key, sent_at)
+        path, _, query = admitted.call.path.partition('?')
+        attempt = delivery.Attempt(
+            server=row.entry.address,
+            method=admitted.call.method,
+            path=path,
+            query=query,
+            headers=self.server_headers(admitted, row),
+            body=body,
+            request_id=admitted.call.request_id,
+            time_left_s=admitted.ends - sent_at,
+        )
+        if not admitted.route.idempotent:
+            self.at_server.add(attempt.request_id)
+        try:
+            outcome = await self.forwarder.send(attempt, lambda: None)
+        finally:
+            self.at_server.discard(attempt.request_id)
+        self.learn(admitted, question, candidate, outcome, sent_at, len(body))
+        return Try(candidate, outcome)
+
+    def server_headers(
+        self, admitted: _messages.Admitted, row: steering.ServerRow
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the headers for a server, without the caller's key."""
+        dialect = self.dialect
+        headers = [
+            (name, value)
+            for name, value in _messages.passed_on(admitted.call.headers)
+            if name.lower() not in self.own_headers
+        ]
+        headers.append((dialect.expected_server_header, row.entry.server_id))
+        if admitted.account is not None:
+            headers.append((dialect.account_header, admitted.account.name))
+        return tuple(headers)
+
+    def learn(
+        self,
+        admitted: _messages.Admitted,
+        question: steering.Question,
+        candidate: steering.Candidate,
+        outcome: delivery.Outcome,
+        sent_at: float,
+        sent_bytes: int,
+    ) -> None:
+        """Update what is known of the server, and log the try."""
+        row, now = candidate.row, self.clock.now()
+        took_s = now - sent_at
+        reported = header(outcome, self.dialect.load_header)
+        load = read_load(reported or '')
+        if load is not None:
+            row.note_report(load[0], load[1], now)
+        if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
+            times = self.state.placement.times(admitted.route)
+            if candidate.start_s == 0.0:
+                expected = times.expected(candidate.warm)
+                row.note_success(took_s / max(LEAST_RUN_S, expected), now)
+                times.note(
+                    candidate.warm,
+                    took_s / row.slowness,
+                    len(outcome.body) + sent_bytes,
+                )
+            else:
+                row.note_success(row.slowness, now)
+        elif outcome.kind is OutcomeKind.SHED:
+            row.note_shed(now)
+        elif outcome.kind is not OutcomeKind.CANCELLED:
+            row.note_failure(now, outcome.kind is OutcomeKind.NOT_SENT)
+        name = outcome.kind.name.lower()
+        self.counters.events.labels(f'try_{name}').inc()
+        self.state.log.write(
+            'try',
+            id=admitted.call.request_id,
+            server=row.entry.server_id,
+            availability_zone=row.entry.availability_zone,
+            affinity_key=question.affinity_key,
+            warm=candidate.warm,
+            estimate_s=round(candidate.estimate_s, 3),
+            took_s=round(took_s, 3),
+            in_progress=row.in_progress,
+            others=round(row.others_now(now), 2),
+            load=reported,
+            outcome=name,
+            status=outcome.status,
+            message=outcome.message,
+        )
+
+
+def succeeded(outcome: delivery.Outcome) -> bool:
+    """Tell whether a server answered, and not with a failure of its own."""
+    return (
+        outcome.kind is OutcomeKind.ANSWERED
+        and outcome.status not in FAILED_STATUSES
+        and not not_run(outcome)
+    )
+
+
+def not_run(outcome: delivery.Outcome) -> bool:
+    """Tell whether it is certain that the server did not run a request."""
+    if outcome.kind in (OutcomeKind.NOT_SENT, OutcomeKind.SHED):
+        return True
+    return outcome.kind is OutcomeKind.ANSWERED and outcome.status == 421
+
+
+def header(outcome: delivery.Outcome, wanted: str) -> str | None:
+    """Return a header of a server's answer."""
+    for name, value in outcome.headers:
+        if name.lower() == wanted.lower():
+            return value
+    return None
+
+
+def read_load(text: str) -> tuple[int, int] | None:
+    """Return running and waiting requests of a server's load report."""
+    parts = text.split(',')
+    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return int(parts[0]), int(parts[1])
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -11,8 +11,10 @@
 from filbertstep import platform
 from filbertstep import steering
 from filbertstep.entry import _contracts
+from filbertstep.entry import _messages
 from filbertstep.entry import _requests
 from filbertstep.entry import _state
+from filbertstep.entry import _tries
 from tests import steering_samples as samples
 from tests import test_entry_knowledge
 
@@ -98,12 +100,13 @@
             self.asked.append(account.name)
             return 0.0
 
+        counters = metrics.Metrics()
         self.system = _requests.RequestSystem(
             self.state,
-            self.forwarder,
-            adapter.dialect(),
-            metrics.Metrics(),
-            self.log,
+            _tries.TrySystem(
+                self.state, self.forwarder, adapter.dialect(), counters
+            ),
+            counters,
             ask,
         )
         self.configure(routes=(samples.route(**changes),))
@@ -126,10 +129,10 @@
         """Set the age of what the VM knows."""
         self.state.knowledge.fresh_at = self.clock.now() - age_s
 
-    def call(self, **changes: typing.Any) -> _requests.Call:
+    def call(self, **changes: typing.Any) -> _messages.Call:
         """Return a call; Any: fields of several types."""
         now = self.clock.now()
-        return _requests.Call(
+        return _messages.Call(
             request_id='id-1',
             method='GET',
             host='shop.example',
@@ -149,7 +152,7 @@
             deadline=now + 3.0,
         )._replace(**changes)
 
-    async def serve(self, **changes: typing.Any) -> _requests.Reply:
+    async def serve(self, **changes: typing.Any) -> _messages.Reply:
         """Serve a call; Any: fields of several types."""
 
         async def body() -> bytes:
@@ -161,7 +164,7 @@
         """Return the places that are taken on all servers."""
         return sum(row.in_progress for row in self.state.servers.rows.values())
 
-    def kind(self, reply: _requests.Reply) -> errors.ErrorKind | None:
+    def kind(self, reply: _messages.Reply) -> errors.ErrorKind | None:
         """Return the kind of a failure."""
         return reply.failure.kind if reply.failure else None
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -25,7 +25,7 @@
         self.lines = _log.DecisionLog(
             'v1', 1000.0, clock.SystemClock(), self.handler
         )
-        self.system.log = self.state.log = self.lines
+        self.state.log = self.lines
 
     def shown(self, request_id: str) -> str:
         """Return what the command prints."""
