Tell peers of held-back deletions; clear what left requests awaited

A VM that reads for its zone held back deletions after an outage and told the others of them only when it applied them, under a revision that the others were already past: they kept servers that were gone until their next whole read. Held-back deletions now go to peers as deletions; a peer that had the outage too holds them back itself. They were also applied by the loop that asks peers, which can take seconds for each dead peer; the tick applies them now.

When the last waiting request of a service left, its server stayed counted as awaited until the next request waited.

--- a/filbertstep/entry/_knowledge.py
+++ b/filbertstep/entry/_knowledge.py
@@ -141,21 +141,27 @@
     def since(self, after: int) -> tuple[list[_contracts.Change], bool]:
         """Return the changes after a revision, and whether they are all.
 
-        When not, they are the whole content instead.
+        When not, they are the whole content instead.  Deletions that are held
+        back here count as done: a peer that knows a later revision would not
+        hear of them any more, and holds them back itself if it has to.
         """
         if 0 < after and self.complete_after <= after:
             changes = [
                 _contracts.Change(key, stored.revision, stored.value)
                 for key, stored in self.items.items()
-                if stored.revision > after
+                if stored.revision > after and key not in self.held
             ]
             changes += [
                 _contracts.Change(key, revision, None)
-                for key, revision in self.deleted.items()
+                for key, revision in [
+                    *self.deleted.items(),
+                    *self.held.items(),
+                ]
                 if revision > after
             ]
             return changes, True
         return [
             _contracts.Change(key, stored.revision, stored.value)
             for key, stored in self.items.items()
+            if key not in self.held
         ], False
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -188,6 +188,7 @@
         """Run the systems that work by time."""
         while True:
             now = self.clock.now()
+            self.state.knowledge.release(now)
             for service in self.state.regions.tick(now):
                 split = self.state.regions.splits[service]
                 self.log.write(
--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -198,7 +198,6 @@
         """Ask peers whenever the knowledge grows old."""
         while True:
             now = self.clock.now()
-            self.table.release(now)
             if self.table.age(now) > RELAY_AFTER_S:
                 await self.ask_peers()
             elif self.relay and (self.connected or self.following):
--- a/filbertstep/steering/_waiting.py
+++ b/filbertstep/steering/_waiting.py
@@ -60,7 +60,7 @@
     def run(self, service: str, now: float) -> None:
         """Start what can start and end the waits that are over."""
         rows = self.waiters.get(service)
-        if not rows:
+        if rows is None:
             return
         table = self.placement.table.by_service.get(service, {})
         for row in table.values():
@@ -82,7 +82,11 @@
             if best is not None:
                 best.row.awaited += 1
             remaining.append(waiter)
-        self.waiters[service] = remaining
+        if remaining:
+            self.waiters[service] = remaining
+        else:
+            # Nothing is awaited any more: the counts were cleared above.
+            del self.waiters[service]
 
 
 def reserve(candidate: _placement.Candidate, now: float) -> None:
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -87,6 +87,24 @@
         self.table.release(12.3)
         self.assertEqual(set(self.table.items), {'s/1'})
 
+    def test_peers_hear_of_deletions_that_are_held_back(self) -> None:
+        """Guards against followers that keep a server which is gone.
+
+        They ask for what came after the revision they know, which is above
+        that of the deletion when it is applied here.
+        """
+        self.apply(2, 0.0, change('s/1', 1), change('s/2', 2))
+        self.apply(3, 10.0, change('s/1', 3, None))
+        self.assertIn('s/1', self.table.items)
+        for after, partial in ((2, True), (0, False)):
+            with self.subTest(after=after):
+                found, told = self.table.since(after)
+                self.assertEqual(told, partial)
+                kept = {item.key for item in found if item.value}
+                self.assertNotIn('s/1', kept)
+        found, _ = self.table.since(2)
+        self.assertIn(change('s/1', 3, None), found)
+
     def test_without_an_outage_a_deletion_holds_at_once(self) -> None:
         """Guards against requests to servers that have left."""
         self.apply(2, 0.0, change('s/1', 1))
