Drop what nothing uses and what was kept twice

Fields that nothing read (a VM's incarnation and lease in its entry, limits that are not enforced, connections and health path of a service), a header name and a parameter; counts of places in placement that the order of candidates already tells; bounds that a reload set in five places by hand. Answers in JSON and the name of the error header are those of filbertstep/_web.py.

Tried and dropped: one rendezvous weight for filbertstep-node and placement. The hashes differ, and a test of placement depends on the order.

--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -6,9 +6,10 @@
 
 import aiohttp
 from aiohttp import web
-import msgspec
 
+from filbertstep import _web
 from filbertstep import clock
+from filbertstep import codec
 from filbertstep import delivery
 from filbertstep import errors
 from filbertstep import steering
@@ -195,7 +196,7 @@
         """Return the answer for a failure of this system."""
         headers = [
             ('Content-Type', 'application/json'),
-            ('X-Error-Kind', failure.kind.value),
+            (_web.ERROR_KIND_HEADER, failure.kind.value),
         ]
         request_id = request.headers.get(self.dialect.request_id_header)
         if request_id is not None:
@@ -210,7 +211,7 @@
         return _messages.Reply(
             errors.ANSWERS[failure.kind].status,
             tuple(headers),
-            msgspec.json.encode(errors.error_body(failure)),
+            codec.encode(errors.error_body(failure)),
         )
 
 
@@ -268,9 +269,7 @@
         body = self.dialect.lookup_answer(
             [member.callers for member in named], ttl_s
         )
-        return web.Response(
-            body=msgspec.json.encode(body), content_type='application/json'
-        )
+        return _web.json_response(body)
 
     async def handle_ready(
         self, request: web.BaseRequest
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -62,9 +62,8 @@
         self,
         writes: collections.abc.Mapping[str, bytes],
         lease: int = 0,
-        deletes: collections.abc.Sequence[str] = (),
     ) -> Reply[int]:
-        """Write and delete keys at once; return the revision."""
+        """Write keys at once; return the revision."""
 
     @abc.abstractmethod
     async def delete_unchanged(self, key: str, revision: int) -> Reply[int]:
@@ -143,7 +142,6 @@
     account_header: str
     expected_server_header: str
     not_run_header: str
-    seal_header: str
     load_header: str
     retry_after_header: str
     affinity_cookie: str
--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -36,12 +36,10 @@
 class MemberDoc(typing.TypedDict):
     """Value of ``vms/NAME``."""
 
-    incarnation: str
     availability_zone: str
     region: str
     callers: str
     peers: str
-    lease: int
 
 
 class MemberTable:
@@ -92,15 +90,7 @@
         doc = msgspec.json.decode(value, type=MemberDoc)
     except msgspec.DecodeError:
         return None
-    return steering.Member(
-        vm=name,
-        incarnation=doc['incarnation'],
-        availability_zone=doc['availability_zone'],
-        region=doc['region'],
-        callers=doc['callers'],
-        peers=doc['peers'],
-        lease=doc['lease'],
-    )
+    return steering.Member(vm=name, **doc)
 
 
 class Registration:
@@ -125,7 +115,6 @@
         self.log = log
         self.lease = 0
         self.counted = False
-        self.registered = False
         self.stopping = False
 
     async def run(self) -> None:
@@ -145,12 +134,10 @@
             return False
         lease = granted.ok_value
         doc: MemberDoc = {
-            'incarnation': self.own.incarnation,
             'availability_zone': self.own.availability_zone,
             'region': self.own.region,
             'callers': self.own.callers,
             'peers': self.own.peers,
-            'lease': lease,
         }
         key = MEMBER_PREFIX + self.own.vm
         if not self.counted:
@@ -164,7 +151,6 @@
         if isinstance(written, result.Err):
             return self.failed('write', written.err_value)
         self.lease = lease
-        self.registered = True
         self.log.write('registered', lease=lease)
         return True
 
--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -8,6 +8,7 @@
 import msgspec
 import result
 
+from filbertstep import _web
 from filbertstep import clock
 from filbertstep import steering
 from filbertstep.entry import _contracts
@@ -70,9 +71,7 @@
             task = asyncio.ensure_future(self.keep(int(lease)))
             self.keeping.add(task)
             task.add_done_callback(self.keeping.discard)
-        return web.Response(
-            body=msgspec.json.encode(doc), content_type='application/json'
-        )
+        return _web.json_response(doc)
 
     async def keep(self, lease: int) -> None:
         """Renew a peer's lease; the peer asks again if that fails."""
@@ -102,9 +101,7 @@
                 account, doc['tokens'], self.clock.now()
             )
         answer: TokensDoc = {'account': doc['account'], 'tokens': given}
-        return web.Response(
-            body=msgspec.json.encode(answer), content_type='application/json'
-        )
+        return _web.json_response(answer)
 
 
 class TokenAsker:
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -7,7 +7,6 @@
 import signal
 import sys
 import typing
-import uuid
 
 import aiohttp
 from aiohttp import web
@@ -45,6 +44,9 @@
 # still runs.
 ENDING_SHARE: typing.Final = 0.97
 
+# Time in seconds for closing idle connections at the end.
+CLOSING_S: typing.Final = 0.1
+
 # Longest queue of connections that the kernel accepts for a listener.
 BACKLOG: typing.Final = 1024
 
@@ -74,12 +76,10 @@
         )
         self.own = steering.Member(
             vm=settings.vm,
-            incarnation=uuid.uuid4().hex,
             availability_zone=settings.availability_zone,
             region=settings.region,
             callers=settings.callers,
             peers=settings.peers,
-            lease=0,
         )
         self.session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar()
@@ -221,12 +221,7 @@
                 self.log.write('reload', reason=reason, changed=False)
             return
         self.settings = settings
-        self.state.settings = settings
-        self.state.placement.bounds = settings.bounds
-        self.state.retries.bounds = settings.bounds
-        self.state.quotas.bounds = settings.bounds
-        self.state.regions.bounds = settings.bounds
-        self.state.servers.regions = settings.regions
+        self.state.set_settings(settings)
         self.log.write('reload', reason=reason, changed=True)
 
     async def shut_down(self, caller_server: web.Server) -> None:
@@ -245,8 +240,8 @@
         self.log.write('stopped', running=self.callers.running)
         # Closes idle connections; what runs has had its time.
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(0.1):
-                await caller_server.shutdown(0.05)
+            async with asyncio.timeout(CLOSING_S):
+                await caller_server.shutdown(CLOSING_S)
         for task in [*self.tasks, leaving]:
             task.cancel()
         self.log.flush()
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -61,6 +61,18 @@
             _contracts.SubjectKind.EVACUATION: self.take_evacuation,
         }
 
+    def set_settings(self, settings: _contracts.EntrySettings) -> None:
+        """Put settings in force; bounds and regions can change in a run."""
+        self.settings = settings
+        self.servers.regions = settings.regions
+        for table in (
+            self.placement,
+            self.retries,
+            self.quotas,
+            self.regions,
+        ):
+            table.bounds = settings.bounds
+
     def may_lapse(self, key: str) -> bool:
         """Tell whether a key disappears when its writer's lease ends."""
         subject = self.decoder.subject(key)
--- a/filbertstep/platform/_adapter.py
+++ b/filbertstep/platform/_adapter.py
@@ -23,7 +23,6 @@
     account_header = 'X-Tenant'
     expected_server_header = 'X-Expect-Instance'
     not_run_header = 'X-Not-Executed'
-    seal_header = 'X-Server-Seal'
     load_header = 'X-Server-Load'
     retry_after_header = 'Retry-After'
     affinity_cookie = 'X-Affinity-Key'
--- a/filbertstep/platform/_documents.py
+++ b/filbertstep/platform/_documents.py
@@ -67,8 +67,6 @@
     """A service."""
 
     name: str
-    health_path: typing.NotRequired[str]
-    max_conns: typing.NotRequired[int]
     cold_start_s: typing.NotRequired[float]
     cold_per_s: typing.NotRequired[float]
 
@@ -89,8 +87,6 @@
 
     header_bytes: int
     body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
 
 
 class ConfigurationDoc(typing.TypedDict):
@@ -197,8 +193,6 @@
     services = {
         row['name']: steering.Service(
             name=row['name'],
-            health_path=row.get('health_path', '/health'),
-            max_connections=row.get('max_conns', 0),
             cold_s=row.get('cold_start_s', 0.0),
             cold_per_s=row.get('cold_per_s', 0.0),
         )
@@ -272,6 +266,4 @@
     return steering.Limits(
         head_bytes=doc.get('header_bytes', usual.head_bytes),
         body_bytes=doc.get('body_bytes', usual.body_bytes),
-        head_timeout_s=doc.get('header_timeout_ms', 3000) / 1000,
-        idle_timeout_s=doc.get('idle_timeout_ms', 60_000) / 1000,
     )
--- a/filbertstep/platform/_store.py
+++ b/filbertstep/platform/_store.py
@@ -175,28 +175,8 @@
         self,
         writes: collections.abc.Mapping[str, bytes],
         lease: int = 0,
-        deletes: collections.abc.Sequence[str] = (),
     ) -> entry.Reply[int]:
-        """Write and delete keys at once."""
-        return await self.transact([], writes, lease, deletes)
-
-    async def delete_unchanged(
-        self, key: str, revision: int
-    ) -> entry.Reply[int]:
-        """Delete a key if its last change is still that of a revision."""
-        condition = [{'key': key, 'revision': revision}]
-        return await self.transact(condition, {}, 0, [key])
-
-    async def transact(
-        self,
-        conditions: collections.abc.Sequence[
-            collections.abc.Mapping[str, object]
-        ],
-        writes: collections.abc.Mapping[str, bytes],
-        lease: int,
-        deletes: collections.abc.Sequence[str],
-    ) -> entry.Reply[int]:
-        """Do one transaction."""
+        """Write keys at once."""
         rows = [
             {
                 'key': key,
@@ -205,16 +185,22 @@
             }
             for key, value in writes.items()
         ]
-        doc = await self.call(
-            'POST',
-            WRITE_PATH,
-            WrittenDoc,
-            body={
-                'expect_rev': list(conditions),
-                'writes': rows,
-                'deletes': list(deletes),
-            },
+        return await self.transact(writes=rows)
+
+    async def delete_unchanged(
+        self, key: str, revision: int
+    ) -> entry.Reply[int]:
+        """Delete a key if its last change is still that of a revision."""
+        return await self.transact(
+            expect_rev=[{'key': key, 'revision': revision}], deletes=[key]
         )
+
+    async def transact(
+        self, **parts: collections.abc.Sequence[object]
+    ) -> entry.Reply[int]:
+        """Do one transaction; parts that are not named are empty."""
+        body = {'expect_rev': [], 'writes': [], 'deletes': [], **parts}
+        doc = await self.call('POST', WRITE_PATH, WrittenDoc, body=body)
         if isinstance(doc, entry.StoreFault):
             return result.Err(doc)
         return result.Ok(doc['revision'])
--- a/filbertstep/steering/_model.py
+++ b/filbertstep/steering/_model.py
@@ -9,12 +9,10 @@
 
 
 class Limits(typing.NamedTuple):
-    """Bounds on what a caller may send, in bytes and seconds."""
+    """Bounds on what a caller may send, in bytes."""
 
     head_bytes: int = 16 * 1024
     body_bytes: int = 64 * 1024 * 1024
-    head_timeout_s: float = 3.0
-    idle_timeout_s: float = 60.0
 
 
 class Destination(typing.NamedTuple):
@@ -50,8 +48,6 @@
     """A service; a cold server takes ``cold_per_s`` requests a second."""
 
     name: str
-    health_path: str
-    max_connections: int
     cold_s: float
     cold_per_s: float
 
@@ -100,17 +96,14 @@
 class Member(typing.NamedTuple):
     """An entry VM that serves callers.
 
-    ``callers`` and ``peers`` are ``host:port`` addresses, ``lease`` is the
-    lease under which the store keeps the entry.
+    ``callers`` and ``peers`` are ``host:port`` addresses.
     """
 
     vm: str
-    incarnation: str
     availability_zone: str
     region: str
     callers: str
     peers: str
-    lease: int
 
 
 class Bounds(typing.NamedTuple):
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -178,8 +178,11 @@
 
     def candidates(
         self, question: Question, now: float
-    ) -> list[_servers.ServerRow]:
-        """Return the warm servers and the first few of each group."""
+    ) -> list[tuple[int, _servers.ServerRow]]:
+        """Return the first few servers of each group and the warm ones.
+
+        Each comes with its place in its group, 0 for the first in rank.
+        """
         light = self.times(question.route).bytes <= LIGHT_BYTES
         groups: dict[Distance, list[_servers.ServerRow]] = {}
         for row in self.table.usable(question.service, question.homes):
@@ -187,7 +190,7 @@
                 continue
             if question.region is None or row.region == question.region:
                 groups.setdefault(self.group(row, light), []).append(row)
-        chosen = []
+        chosen: list[tuple[int, _servers.ServerRow]] = []
         for rows in groups.values():
             rows.sort(
                 key=lambda row: _routes.rank(
@@ -200,12 +203,14 @@
                 for row in rows
                 if now >= row.paused_until and self.cold_allows(row, now)
             ]
-            chosen += ready[:RANKED_SERVERS]
             chosen += [
-                row
-                for row in ready[RANKED_SERVERS:]
-                if question.affinity_key
-                and row.is_warm(question.affinity_key, now)
+                (place, row)
+                for place, row in enumerate(ready)
+                if place < RANKED_SERVERS
+                or (
+                    question.affinity_key
+                    and row.is_warm(question.affinity_key, now)
+                )
             ]
         return chosen
 
@@ -222,13 +227,8 @@
         """
         best: Candidate | None = None
         best_order = (True, float('inf'))
-        places: dict[Distance, int] = {}
-        size = self.times(question.route).bytes
-        for row in self.candidates(question, now):
-            group = self.group(row, size <= LIGHT_BYTES)
-            place = places.get(group, 0)
-            places[group] = place + 1
-            found = self.estimate(row, question, size, place == 0, now)
+        for place, row in self.candidates(question, now):
+            found = self.estimate(row, question, place == 0, now)
             if not found.warm:
                 found = found._replace(
                     estimate_s=found.estimate_s + place * RANK_S
@@ -262,7 +262,6 @@
         self,
         row: _servers.ServerRow,
         question: Question,
-        size: float,
         first: bool,
         now: float,
     ) -> Candidate:
@@ -290,7 +289,7 @@
         risk_s = row.failures * RISK_RUNS * times.cold_s
         return Candidate(
             row,
-            self.network_s(distance, size) + start_s + run_s + risk_s,
+            self.network_s(distance, times.bytes) + start_s + run_s + risk_s,
             start_s,
             run_s,
             warm,
--- a/tests/steering_samples.py
+++ b/tests/steering_samples.py
@@ -29,8 +29,6 @@
 
 SERVICE: typing.Final = steering.Service(
     name='orders',
-    health_path='/health',
-    max_connections=390,
     cold_s=3.0,
     cold_per_s=2.7,
 )
@@ -86,12 +84,10 @@
     """Return an entry VM."""
     return steering.Member(
         vm=vm,
-        incarnation='1',
         availability_zone=zone,
         region=REGIONS[zone],
         callers=f'{vm}:80',
         peers=f'{vm}:81',
-        lease=7,
     )
 
 
