End streamed answers at their deadline in all cases

Callers saw: a caller that stopped reading kept its request, and the server that sent to it, for as long as it liked.

Cause: the deadline of a stream was checked only while its consumer waited for the server. A consumer blocked by a slow caller was not interrupted, and the streams of answers that were not passed on (a 5xx or 421 before a retry) were never closed.

Change: the stream closes its connection at the deadline by itself, the listener aborts the caller's connection then, and final_reply closes the streams of all answers but the one that it returns.

--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -412,8 +412,9 @@
     """The body of a large response, in chunks.
 
     Yields ``buffered_chunks`` first.  The consumer must read to the end or
-    call ``close``.  ``deadline`` is event loop time; ``on_close`` may run more
-    than once.
+    call ``close``.  ``deadline`` is event loop time; the connection is closed
+    then even if the consumer does not read on.  ``on_close`` may run more than
+    once.
     """
 
     def __init__(
@@ -427,6 +428,9 @@
         self.buffered_chunks = buffered_chunks
         self.deadline = deadline
         self.on_close = on_close
+        self.deadline_timer = asyncio.get_running_loop().call_at(
+            deadline, self.close
+        )
 
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the chunks; raise ``TruncatedBodyError`` at an early end."""
@@ -448,6 +452,7 @@
     def close(self) -> None:
         """Release the connection, or close it if the body is incomplete."""
         self.on_close()
+        self.deadline_timer.cancel()
         if self.response.content.at_eof():
             self.response.release()
         else:
--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -171,7 +171,8 @@
         """Send a reply to the caller.
 
         Raises ``TruncatedBodyError`` if the server breaks a streamed answer
-        off; the connection is aborted then.
+        off, and ``TimeoutError`` if the caller does not read it in time; the
+        connection is aborted then.
         """
         if reply.failure is not None:
             reply = self.render_failure(request, reply.failure)
@@ -189,17 +190,21 @@
             response.force_close()
         if reply.stream is None:
             return response
-        await response.prepare(request)
         try:
-            async for chunk in reply.stream:
-                await response.write(chunk)
-        except delivery.TruncatedBodyError:
+            # A caller that stops reading must not keep the stream open.
+            async with asyncio.timeout_at(reply.stream.deadline):
+                await response.prepare(request)
+                async for chunk in reply.stream:
+                    await response.write(chunk)
+                await response.write_eof()
+        except (delivery.TruncatedBodyError, TimeoutError):
             # The missing last chunk shows the caller that the answer is
             # incomplete.
             if request.transport is not None:
                 request.transport.abort()
             raise
-        await response.write_eof()
+        finally:
+            reply.stream.close()
         return response
 
     def render_failure(
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -404,19 +404,25 @@
         ``no_server_reply`` is the failure reply if no further server could be
         reserved, else None.
         """
-        for attempt in reversed(attempts):
-            # Prefer a server's own answer to a failure reply of this system.
-            outcome = attempt.outcome
-            if (
-                outcome.kind is OutcomeKind.ANSWERED
-                and not _tries.certainly_not_run(outcome)
-            ):
-                return _messages.Reply(
-                    outcome.status,
-                    tuple(_messages.end_to_end_headers(outcome.headers)),
-                    outcome.body,
-                    outcome.stream,
-                )
+        # Prefer a server's own answer to a failure reply of this system.
+        answers = [
+            attempt.outcome
+            for attempt in attempts
+            if attempt.outcome.kind is OutcomeKind.ANSWERED
+            and not _tries.certainly_not_run(attempt.outcome)
+        ]
+        answer = answers[-1] if answers else None
+        for attempt in attempts:
+            stream = attempt.outcome.stream
+            if stream is not None and attempt.outcome is not answer:
+                stream.close()
+        if answer is not None:
+            return _messages.Reply(
+                answer.status,
+                tuple(_messages.end_to_end_headers(answer.headers)),
+                answer.body,
+                answer.stream,
+            )
         if all(
             _tries.certainly_not_run(attempt.outcome) for attempt in attempts
         ):
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -4,6 +4,7 @@
 import json
 import typing
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -378,6 +379,28 @@
         reply = await self.serve()
         self.assertEqual(reply.headers, ())
 
+    async def test_streams_of_unused_answers_are_closed(self) -> None:
+        """Guards against connections that stay open after a retry.
+
+        Their servers may send without end.
+        """
+        for status in (421, 500):
+            with self.subTest(status=status):
+                stream = mock.Mock()
+                self.build(answered(status)._replace(stream=stream))
+                reply = await self.serve()
+                self.assertEqual(reply.status, 200)
+                self.assertIsNone(reply.stream)
+                stream.close.assert_called_once_with()
+
+    async def test_the_stream_of_the_reply_stays_open(self) -> None:
+        """Guards against cutting off the answer that the caller gets."""
+        stream = mock.Mock()
+        self.build(answered(200)._replace(stream=stream))
+        reply = await self.serve()
+        self.assertIs(reply.stream, stream)
+        stream.close.assert_not_called()
+
     async def test_retries_need_retry_budget(self) -> None:
         """Retries beyond the retry budget would multiply the load."""
         self.build(answered(500))
--- a/tests/test_forward_endless.py
+++ b/tests/test_forward_endless.py
@@ -144,6 +144,14 @@
                         async for _ in stream:
                             pass
 
+    async def test_an_unread_stream_ends_at_the_deadline(self) -> None:
+        """Guards against a connection that stays open for a slow caller."""
+        first, repeated = ENDLESS_BODIES['chunks']
+        await self.connect(replies_without_end(first, repeated))
+        async with self.bounded(TIME_LEFT_S + LATE_S):
+            outcome = await self.send('r1', TIME_LEFT_S)
+        self.assertIsNotNone(outcome.stream)
+
     async def test_endless_framing_ends_the_attempt(self) -> None:
         """Guards against buffering what belongs to no chunk."""
         for name, (first, repeated) in ENDLESS_FRAMING.items():
