Log where the loads of a split come from

A split line showed the load that a VM believed of each region, but not whether any server had reported it, and a try line did not tell whether the split or an overflow had chosen the region. Without that, an idle region and a region of which nothing is known look the same.

--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -222,6 +222,10 @@
                     service=service,
                     moved=round(split.remote_share, 3),
                     loads=format_by_name(split.loads),
+                    reports=[
+                        f'{region}={count}'
+                        for region, count in split.report_counts.items()
+                    ],
                     times=format_by_name(split.latency_ratios),
                     weights=format_by_name(split.remote_weights),
                 )
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -266,6 +266,7 @@
             id=admitted.call.request_id,
             server=server.entry.server_id,
             availability_zone=server.entry.availability_zone,
+            region=query.region,
             affinity_key=query.affinity_key,
             warm=candidate.cached,
             estimate_s=round(candidate.estimate_s, 3),
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -108,6 +108,8 @@
         # reported since the last step.
         self.loads: dict[str, float] = {}
         self.load_reports: dict[str, list[float]] = {}
+        # Number of load reports by region in the last step.
+        self.report_counts: dict[str, int] = {}
         # Moving averages of the latency relative to the target, by region.
         self.latency_ratios: dict[str, float] = {}
         # Relative weights of the other regions among the remote requests.
@@ -310,6 +312,7 @@
             )
         for region, region_slots in slots.items():
             reports = split.load_reports.pop(region, [])
+            split.report_counts[region] = len(reports)
             if reports:
                 load = sum(reports) / len(reports)
                 weight = REPORTED_LOAD_WEIGHT * min(
