Do not take a region without load reports for idle

Cause: a VM learns the load of a region from answers of its servers. Without answers, its average moved towards its own requests there, which are next to none in a region to which it sends nothing. Once its own region was busy, it sent requests away; VMs on both sides did so, each region had to run the objects of the others without having them cached, and both stayed busy.

Change: without reports, the average of another region moves towards the load that is assumed before the first report, or the own requests there if they are more.

--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -56,8 +56,8 @@
 # Weight of one answer in the moving averages of latency.
 LATENCY_WEIGHT: typing.Final = 0.05
 
-# Assumed load of all slots together before the first measurement.
-INITIAL_LOAD: typing.Final = 0.55
+# Assumed load of slots of which no load is known.
+ASSUMED_LOAD: typing.Final = 0.55
 
 # Load up to which the initial split fills the local slots with local requests.
 INITIAL_LOCAL_LOAD: typing.Final = 0.7
@@ -75,9 +75,9 @@
 REPORTED_LOAD_WEIGHT: typing.Final = 0.4
 FULL_WEIGHT_REPORTS: typing.Final = 8
 
-# Weight of this VM's own estimate, which replaces missing reports.  It is
-# lower because the estimate covers only a part of all requests.
-OWN_ESTIMATE_WEIGHT: typing.Final = 0.1
+# Weight of what replaces missing reports.  It is lower because this VM's own
+# estimate covers only a part of all requests.
+ESTIMATE_WEIGHT: typing.Final = 0.1
 
 # One more than the number of hash values, so that ``(hash + 1) / HASH_RANGE``
 # is strictly between 0 and 1.
@@ -172,7 +172,7 @@
             set(self.table.region_by_zone.values())
         )
         local_capacity = INITIAL_LOCAL_LOAD * slots.get(self.region, 0)
-        return max(0.0, 1.0 - local_capacity / slots_per_region / INITIAL_LOAD)
+        return max(0.0, 1.0 - local_capacity / slots_per_region / ASSUMED_LOAD)
 
     def choose_region(
         self, service: str, affinity_key: str, now: float
@@ -320,12 +320,16 @@
                 )
             else:
                 load = estimated.get(region, 0.0) / max(1, region_slots)
-                weight = OWN_ESTIMATE_WEIGHT
-                if region == self.region and region in split.latency_ratios:
+                weight = ESTIMATE_WEIGHT
+                if region != self.region:
+                    # Most requests there are those of other VMs, so few own
+                    # ones do not show that the region is idle.
+                    load = max(load, ASSUMED_LOAD)
+                elif region in split.latency_ratios:
                     # Without answers, there is no evidence that this region is
                     # still slow.
-                    split.latency_ratios[region] *= 1.0 - OWN_ESTIMATE_WEIGHT
-            average = split.loads.get(region, INITIAL_LOAD)
+                    split.latency_ratios[region] *= 1.0 - ESTIMATE_WEIGHT
+            average = split.loads.get(region, ASSUMED_LOAD)
             split.loads[region] = average + weight * (load - average)
         split.load_reports.clear()
 
--- a/tests/test_steering_regions.py
+++ b/tests/test_steering_regions.py
@@ -97,6 +97,25 @@
             self.run_step(step * 0.1)
         self.assertEqual(split.remote_share, before)
 
+    def test_a_region_without_load_reports_is_not_taken_for_idle(self) -> None:
+        """Guards against regions that exchange their requests.
+
+        A full region sent requests to another one, of which it had no reports
+        and believed in a load of 0.09; the VMs there saw 0.85 and did the same
+        (calibration-short).
+        """
+        split = self.splitter.service_split('orders', 0.0)
+        for step in range(1, 201):
+            for server in self.table.by_id.values():
+                if server.region == 'a':
+                    self.splitter.record_load(server, 3, 1)
+                elif step < 20:
+                    self.splitter.record_load(server, 3, 1)
+            self.run_step(step * 0.1)
+        self.assertGreater(split.loads['a'], 0.9)
+        self.assertGreater(split.loads['b'], 0.5)
+        self.assertGreater(split.loads['c'], 0.5)
+
     def test_slow_answers_shift_requests(self) -> None:
         """Guards against keeping more objects in a region than it can cache.
 
