Return requests from regions that are more loaded

Cause: requests returned to their region only below a load of 0.5. While regions exchange requests, no load gets that low, because the exchange causes runs without the object cached, which take several times as long.

Change: requests also return while the load of their region is below that of all others.

--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -31,15 +31,18 @@
 ADJUST_INTERVAL_S: typing.Final = 0.5
 
 # Above ``HIGH_LOAD``, more requests leave a region for less loaded ones; below
-# ``LOW_LOAD``, they return.  Loads are requests per slot, waiting requests
-# included.  Requests hardly wait below ``HIGH_LOAD``.  The gap between the two
-# prevents oscillation.
+# ``LOW_LOAD``, or below the load of all other regions, they return.  Loads are
+# requests per slot, waiting requests included.  Requests hardly wait below
+# ``HIGH_LOAD``.  The gap between the two prevents oscillation.
 HIGH_LOAD: typing.Final = 0.7
 LOW_LOAD: typing.Final = 0.5
 
 # Minimum difference in load between two regions before requests shift.
 LOAD_MARGIN: typing.Final = 0.15
 
+# Difference up to which two loads count as equal.
+LOAD_TOLERANCE: typing.Final = 0.02
+
 # Requests leave a region whose latency exceeds ``SLOW_LATENCY_RATIO`` of the
 # target and ``MAX_RELATIVE_LATENCY`` times that of the fastest other region.
 # Servers with requests for more objects than they can cache are slow long
@@ -373,7 +376,10 @@
             local_load > HIGH_LOAD and less_loaded_remote
         ) or relative_latency > MAX_RELATIVE_LATENCY:
             split.remote_share = min(1.0, split.remote_share + step)
-        elif local_load < LOW_LOAD and relative_latency < 1.0:
+        elif (
+            local_load < max(LOW_LOAD, min(remote_loads) - LOAD_TOLERANCE)
+            and relative_latency < 1.0
+        ):
             split.remote_share = max(0.0, split.remote_share - step)
         self.rebalance_remote_weights(split, step)
 
--- a/tests/test_steering_regions.py
+++ b/tests/test_steering_regions.py
@@ -116,6 +116,24 @@
         self.assertGreater(split.loads['b'], 0.5)
         self.assertGreater(split.loads['c'], 0.5)
 
+    def test_requests_return_from_regions_that_are_more_loaded(self) -> None:
+        """Guards against an exchange of requests that keeps all regions busy.
+
+        Each region runs the other's objects without having them cached, so
+        that the load stays above the mark at which requests return
+        (calibration-short).
+        """
+        split = self.splitter.service_split('orders', 0.0)
+        before = split.remote_share
+        for step in range(1, 41):
+            for server in self.table.by_id.values():
+                self.splitter.record_load(
+                    server, 3, 0 if server.region == 'a' else 1
+                )
+            self.run_step(step * 0.1)
+        self.assertGreater(split.loads['a'], 0.6)
+        self.assertLess(split.remote_share, before)
+
     def test_slow_answers_shift_requests(self) -> None:
         """Guards against keeping more objects in a region than it can cache.
 
