Tell other VMs the loads of the own region

Cause: what a VM knew of the load of another region came from the few requests that it sent there. VMs of one region believed in different loads, kept different parts of their requests, and so ran the same objects in several regions.

--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -1,4 +1,4 @@
-"""Requests between entry VMs: relayed store content and rate tokens."""
+"""Requests between entry VMs: relayed store content, tokens and loads."""
 
 import asyncio
 import typing
@@ -12,6 +12,7 @@
 from filbertstep import clock
 from filbertstep import steering
 from filbertstep.entry import _contracts
+from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
 from filbertstep.entry import _state
 from filbertstep.entry import _sync
@@ -62,6 +63,12 @@
             return self.handle_knowledge(request)
         if request.path == TOKENS_PATH:
             return self.handle_tokens(await request.read())
+        if request.path == _load_exchange.LOADS_PATH:
+            return _web.json_response(
+                _load_exchange.loads_answer(
+                    self.state.regions, self.clock.now()
+                )
+            )
         return web.Response(status=404)
 
     def handle_knowledge(self, request: web.BaseRequest) -> web.Response:
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -20,6 +20,7 @@
 from filbertstep import steering
 from filbertstep.entry import _callers
 from filbertstep.entry import _contracts
+from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
 from filbertstep.entry import _peers
@@ -135,6 +136,9 @@
         self.peer_listener = _peers.PeerListener(
             self.state, self.store_sync, self.store, self.clock, self.log
         )
+        self.load_exchange = _load_exchange.LoadExchange(
+            self.state, self.session, self.clock, self.log
+        )
         self.listeners: list[asyncio.Server] = []
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -149,6 +153,7 @@
             ('relay', self.store_sync.run_relay),
             ('registration', self.registration.run),
             ('strikes', self.strike_writer.run),
+            ('loads', self.load_exchange.run),
             ('tick', self.tick),
             ('settings', self.watch_settings),
         ):
--- a/filbertstep/steering/__init__.py
+++ b/filbertstep/steering/__init__.py
@@ -19,6 +19,7 @@
 from filbertstep.steering._placement import Placement as Placement
 from filbertstep.steering._placement import PlacementQuery as PlacementQuery
 from filbertstep.steering._quota import QuotaTable as QuotaTable
+from filbertstep.steering._regions import LoadSummary as LoadSummary
 from filbertstep.steering._regions import RegionSplitter as RegionSplitter
 from filbertstep.steering._routes import RouteTable as RouteTable
 from filbertstep.steering._routes import WeightedBalancer as WeightedBalancer
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -82,6 +82,11 @@
 # estimate covers only a part of all requests.
 ESTIMATE_WEIGHT: typing.Final = 0.1
 
+# Age up to which a VM shares its load reports with other VMs, and time for
+# which those use them.
+MAX_SHARED_REPORT_AGE_S: typing.Final = 1.5
+MAX_SUMMARY_AGE_S: typing.Final = 3.0
+
 # One more than the number of hash values, so that ``(hash + 1) / HASH_RANGE``
 # is strictly between 0 and 1.
 HASH_RANGE: typing.Final = 2**64 + 1
@@ -96,6 +101,16 @@
 LAG_SHARE_OF_REQUESTS: typing.Final = 0.025
 
 
+class LoadSummary(typing.NamedTuple):
+    """Mean of the loads that servers of a region reported, and their number.
+
+    Loads are requests per slot, waiting requests included.
+    """
+
+    load: float
+    reports: int
+
+
 class ServiceSplit:
     """Split of the requests for one service that arrive in this region.
 
@@ -111,6 +126,12 @@
         # reported since the last step.
         self.loads: dict[str, float] = {}
         self.load_reports: dict[str, list[float]] = {}
+        # The newest summary of another VM's reports by region, and its time.
+        self.peer_summaries: dict[str, tuple[LoadSummary, float]] = {}
+        # Reports by servers of this region in the last step that had any, and
+        # the time of that step.
+        self.local_summary = LoadSummary(0.0, 0)
+        self.local_summary_at = float('-inf')
         # Number of load reports by region in the last step.
         self.report_counts: dict[str, int] = {}
         # Moving averages of the latency relative to the target, by region.
@@ -125,6 +146,15 @@
         self.request_times: collections.deque[float] = collections.deque()
         self.overflow_times: collections.deque[float] = collections.deque()
 
+    def peer_reports(self, region: str, now: float) -> list[float]:
+        """Return the loads of a region that another VM recently received."""
+        summary, received_at = self.peer_summaries.get(
+            region, (LoadSummary(0.0, 0), now)
+        )
+        if now - received_at > MAX_SUMMARY_AGE_S:
+            return []
+        return [summary.load] * min(summary.reports, FULL_WEIGHT_REPORTS)
+
     def prune(self, now: float) -> None:
         """Drop the times of requests before the window."""
         for times in (self.request_times, self.overflow_times):
@@ -284,6 +314,22 @@
             load = max(0, running + waiting - 1) / max(1, server.entry.slots)
             split.load_reports.setdefault(server.region, []).append(load)
 
+    def local_summaries(self, now: float) -> dict[str, LoadSummary]:
+        """Return the recent loads of this region by service, for other VMs."""
+        return {
+            service: split.local_summary
+            for service, split in self.splits.items()
+            if now - split.local_summary_at <= MAX_SHARED_REPORT_AGE_S
+        }
+
+    def record_summary(
+        self, service: str, region: str, summary: LoadSummary, now: float
+    ) -> None:
+        """Record the loads of a region that another VM received."""
+        split = self.splits.get(service)
+        if split is not None:
+            split.peer_summaries[region] = (summary, now)
+
     def record_latency(
         self, server: _servers.ServerRecord, took_s: float, target_s: float
     ) -> None:
@@ -315,9 +361,13 @@
             )
         for region, region_slots in slots.items():
             reports = split.load_reports.pop(region, [])
+            if region == self.region and reports:
+                split.local_summary = summarize(reports)
+                split.local_summary_at = now
+            reports += split.peer_reports(region, now)
             split.report_counts[region] = len(reports)
             if reports:
-                load = sum(reports) / len(reports)
+                load = summarize(reports).load
                 weight = REPORTED_LOAD_WEIGHT * min(
                     1.0, len(reports) / FULL_WEIGHT_REPORTS
                 )
@@ -431,6 +481,11 @@
         )
 
 
+def summarize(loads: collections.abc.Sequence[float]) -> LoadSummary:
+    """Return the mean and number of at least one load."""
+    return LoadSummary(sum(loads) / len(loads), len(loads))
+
+
 def preferred_region(
     weights: collections.abc.Mapping[str, float], affinity_key: str
 ) -> str:
