--- a/tests/fleet_soak/_faults.py
+++ b/tests/fleet_soak/_faults.py
@@ -233,17 +233,19 @@
 
 
 async def degrade_servers(world: _world.World, rng: random.Random) -> None:
-    """Make servers execute slowly or lose responses after the execution."""
+    """Make servers slow, lose responses, or send bytes without end."""
     servers = rng.sample(world.ready_servers(), 3)
     for server in servers:
         server.execution_time_factor = rng.choice((1.0, 6.0))
         server.response_loss_probability = rng.choice((0.0, 0.3))
-    await asyncio.sleep(choose_duration(rng))
+    duration_s = choose_duration(rng)
     for server in servers:
-        server.execution_time_factor, server.response_loss_probability = (
-            1.0,
-            0.0,
-        )
+        server.endless_response_probability = rng.choice((0.0, 0.3))
+    await asyncio.sleep(duration_s)
+    for server in servers:
+        server.execution_time_factor = 1.0
+        server.response_loss_probability = 0.0
+        server.endless_response_probability = 0.0
 
 
 async def send_poison_requests(
--- a/tests/fleet_soak/_world.py
+++ b/tests/fleet_soak/_world.py
@@ -54,6 +54,22 @@
 # idle.
 DRAIN_DURATION_S: typing.Final = 3.0
 
+# Bytes that a faulty server sends first in place of a response, and those that
+# it repeats until the connection is closed.
+ENDLESS_RESPONSES: typing.Final = (
+    (b'HTTP/1.1 200 OK\r\n', b'X-A: a\r\n'),
+    (b'', b'HTTP/1.1 103 Early\r\n\r\n'),
+    (b'HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n\r\n', b'a'),
+    (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'4\r\nmore\r\n',
+    ),
+)
+
+# Size of the blocks of such bytes, and the pause after each.
+ENDLESS_BLOCK_BYTES: typing.Final = 64 * 1024
+ENDLESS_PAUSE_S: typing.Final = 0.01
+
 # Path of poison requests, which crash each server that executes them.
 POISON_PATH: typing.Final = '/status/poison'
 
@@ -63,7 +79,8 @@
 
     Tests inject faults: ``execution_time_factor`` multiplies execution times,
     ``response_loss_probability`` is the probability that the connection is
-    aborted after the execution instead of a response.
+    aborted after the execution instead of a response, and
+    ``endless_response_probability`` that bytes without end are sent.
     """
 
     def __init__(
@@ -78,6 +95,7 @@
         self.queued = 0
         self.execution_time_factor = 1.0
         self.response_loss_probability = 0.0
+        self.endless_response_probability = 0.0
         self.draining = False
         self.alive = True
         self.started_ms = int(time.time() * 1000)
@@ -177,6 +195,10 @@
         )
         if rng.random() < self.response_loss_probability:
             request.transport.abort()
+        if rng.random() < self.endless_response_probability:
+            await send_without_end(
+                request.transport, *rng.choice(ENDLESS_RESPONSES)
+            )
         return web.Response(
             text=f'{request_id} {self.name}',
             headers={
@@ -203,6 +225,18 @@
                 connection.transport.abort()
 
 
+async def send_without_end(
+    transport: asyncio.WriteTransport, first: bytes, repeated: bytes
+) -> None:
+    """Send bytes until the connection is closed."""
+    block = repeated * (ENDLESS_BLOCK_BYTES // len(repeated))
+    transport.write(first)
+    while not transport.is_closing():
+        if transport.get_write_buffer_size() < ENDLESS_BLOCK_BYTES:
+            transport.write(block)
+        await asyncio.sleep(ENDLESS_PAUSE_S)
+
+
 class Vm(entry_process.EntryProcess):
     """An entry VM; it reaches the store over a separate link."""
 
