Keep the HTTP server's own log off standard error

Callers saw: nothing. Operators found a traceback on standard error for each answer that ended early, and, for a malformed head, the head itself, with the API key in it.

Cause: the entry program did not replace aiohttp's logger, as the other program does.

Change: the logger is discarded there too, and an answer that ends early gets a line of its own, answer_cut.

Evidence: both cases of test_nothing_is_written_to_standard_error fail on the code before.

--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -43,6 +43,7 @@
         handler_cancellation=True,
         auto_decompress=False,
         keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+        logger=_web.SILENCED_LOGGER,
         max_line_size=MAX_PARSED_LINE_BYTES,
         max_field_size=MAX_PARSED_LINE_BYTES,
         lingering_time=1.0,
@@ -197,7 +198,12 @@
                 async for chunk in reply.stream:
                     await response.write(chunk)
                 await response.write_eof()
-        except (delivery.TruncatedBodyError, TimeoutError):
+        except (delivery.TruncatedBodyError, TimeoutError) as error:
+            self.state.log.write(
+                'answer_cut',
+                id=request.headers.get(self.wire_format.request_id_header),
+                error=str(error) or type(error).__name__,
+            )
             # The missing last chunk shows the caller that the answer is
             # incomplete.
             if request.transport is not None:
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import types
 import typing
+from unittest import mock
 
 from filbertstep import clock
 from filbertstep import delivery
@@ -46,7 +48,7 @@
 class TestEndlessAnswers(test_forward_faulty.FaultyCase):
     """Answers whose body does not end."""
 
-    async def call(self) -> asyncio.StreamReader:
+    async def call(self, request: bytes = REQUEST) -> asyncio.StreamReader:
         """Send a request through a VM to a server that sends without end."""
         await self.connect(
             test_forward_endless.replies_without_end(
@@ -54,8 +56,11 @@
             )
         )
         configuration = types.SimpleNamespace(limits=steering.Limits())
+        self.log = mock.Mock()
         # Any: stands in for classes of which it has the used attributes only.
-        state: typing.Any = types.SimpleNamespace(configuration=configuration)
+        state: typing.Any = types.SimpleNamespace(
+            configuration=configuration, log=self.log
+        )
         handler: typing.Any = ForwardingHandler(self.send)
         listener = _callers.CallerListener(
             handler,
@@ -71,7 +76,7 @@
         port = server.sockets[0].getsockname()[1]
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         self.addCleanup(writer.close)
-        writer.write(REQUEST)
+        writer.write(request)
         return reader
 
     async def test_the_caller_sees_that_the_answer_is_incomplete(self) -> None:
@@ -88,6 +93,24 @@
                 pass
         self.assertNotEqual(last, b'0\r\n\r\n')
         self.assertTrue(last)
+        self.log.write.assert_called_once()
+        self.assertEqual(self.log.write.call_args.args, ('answer_cut',))
+
+    async def test_nothing_is_written_to_standard_error(self) -> None:
+        """Guards against keys in the log, and a traceback for each answer.
+
+        aiohttp logs malformed heads in full.
+        """
+        requests = (REQUEST, b'GET /a HTTP/1.1\r\nKey k1\r\n\r\n')
+        for request in requests:
+            with self.subTest(request=request):
+                with self.assertNoLogs('aiohttp'):
+                    reader = await self.call(request)
+                    with contextlib.suppress(ConnectionError):
+                        while await reader.read(
+                            test_forward_endless.BLOCK_BYTES
+                        ):
+                            pass
 
     async def test_a_caller_that_does_not_read_is_disconnected(self) -> None:
         """Guards against holding a request past its time for a slow caller."""
