Do not take endless bytes for a crash of the server

Callers saw: nothing yet. Since endless heads end an attempt early, three servers in trouble would have quarantined a request that ends no server.

Cause: the attempt ended as BROKEN, which is a strike against the request.

Change: it ends as MISMATCHED, which is answered with 502 too and is no strike.

Evidence: test_the_request_gets_no_strike fails on the code before.

--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -90,9 +90,9 @@
     """How one attempt ended.
 
     ``SHED``: the server reported that it did not run the request.  ``BROKEN``:
-    the connection failed after the request was sent.  ``MISMATCHED``: the
-    response carries another request id.  Metrics and log lines contain the
-    names of the members.
+    the connection failed after the request was sent, or no valid response
+    arrived.  ``MISMATCHED``: the server sent something else than the response
+    to this request.  Metrics and log lines contain the names of the members.
     """
 
     ANSWERED = enum.auto()
@@ -561,6 +561,14 @@
                 failure=error.failure,
                 message=error.failure.message,
             )
+        except ExcessBytesError as error:
+            # Not BROKEN, which may count as a crash caused by the request.
+            return ForwardOutcome(
+                ForwardOutcomeKind.MISMATCHED,
+                True,
+                state.status,
+                message=type(error).__name__,
+            )
         except (aiohttp.ClientError, OSError, RepeatedError) as error:
             return connection_failed(state, type(error).__name__)
         finally:
