--- a/tests/caching_fleet.py
+++ b/tests/caching_fleet.py
@@ -22,6 +22,7 @@
 from filbertstep.entry import _requests
 from filbertstep.entry import _state
 from filbertstep.entry import _tries
+from tests import entry_samples
 from tests import steering_samples as samples
 from tests import test_entry_knowledge
 from tests import virtual_time
@@ -204,23 +205,11 @@
         """Start a VM that knows the whole fleet."""
         zone = self.vm_zones[vm]
         region = samples.REGIONS[zone]
-        settings = _contracts.EntrySettings(
+        settings = entry_samples.settings(
             vm=vm,
-            host='127.0.0.1',
             availability_zone=zone,
             region=region,
-            caller_address='127.0.0.1:1',
-            ready_address='127.0.0.1:2',
-            peer_address='127.0.0.1:3',
-            lookup_address='127.0.0.1:4',
-            metrics_port=5,
-            seed_addresses=(),
-            region_by_zone=dict(samples.REGIONS),
-            store_address='127.0.0.1:6',
-            min_lease_s=1.0,
-            first_start=True,
             log_lines_per_s=1.0,
-            bounds=samples.BOUNDS,
         )
         adapter = platform.PlatformAdapter('')
         log = test_entry_knowledge.make_log(self.clock)
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -20,6 +20,7 @@
 from filbertstep.entry import _state
 from filbertstep.entry import _strikes
 from filbertstep.entry import _tries
+from tests import entry_samples
 from tests import steering_samples as samples
 from tests import test_entry_knowledge
 
@@ -84,27 +85,12 @@
         """
         self.clock = clock.SystemClock()
         self.log = test_entry_knowledge.make_log(self.clock)
-        settings = _contracts.EntrySettings(
-            vm='v1',
-            host='127.0.0.1',
-            availability_zone='a-1',
-            region='a',
-            caller_address='127.0.0.1:1',
-            ready_address='127.0.0.1:2',
-            peer_address='127.0.0.1:3',
-            lookup_address='127.0.0.1:4',
-            metrics_port=5,
-            seed_addresses=(),
-            region_by_zone=dict(samples.REGIONS),
-            store_address='127.0.0.1:6',
-            min_lease_s=1.0,
-            first_start=True,
-            log_lines_per_s=100.0,
-            bounds=samples.BOUNDS,
-        )
         platform_adapter = platform.PlatformAdapter('')
         self.state = _state.State(
-            settings, platform_adapter.decoder(), self.clock, self.log
+            entry_samples.settings(),
+            platform_adapter.decoder(),
+            self.clock,
+            self.log,
         )
         self.forwarder = FakeForwarder(*outcomes)
         self.asked_accounts: list[str] = []
