--- a/tests/caching_fleet.py
+++ b/tests/caching_fleet.py
@@ -82,9 +82,8 @@
             collections.OrderedDict()
         )
         self.slots = asyncio.Semaphore(entry.slots)
+        # Running and waiting requests.
         self.present = 0
-        self.runs = 0
-        self.cached_runs = 0
 
     def load(self) -> tuple[tuple[str, str], ...]:
         """Return the load header: running and waiting requests, slots."""
@@ -108,8 +107,6 @@
                 self.cache.move_to_end(object_key)
                 if len(self.cache) > self.cached_objects:
                     self.cache.popitem(last=False)
-                self.runs += 1
-                self.cached_runs += cached
                 run_s = workload.cached_run_s if cached else workload.run_s
                 await asyncio.sleep(
                     run_s * self.generator.gauss(1.0, RUN_TIME_SPREAD)
