Let requests return to a region that other VMs use

Cause: a VM that had measured its region as slow, and sent it nothing any more, forgot that only while it had no load reports of the region. Since VMs tell each other their loads, it always has, and would have avoided the region for good.

Change: what ages the latency is the lack of own answers.

Evidence: test_reports_of_other_vms_do_not_keep_a_region_slow fails on the code before: the remote share stays at 1.0.

--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -374,9 +374,8 @@
             )
         for region, region_slots in slots.items():
             reports = split.load_reports.pop(region, [])
-            if region == self.region and reports:
-                split.local_summary = summarize(reports)
-                split.local_summary_at = now
+            if region == self.region:
+                self.update_local(split, reports, now)
             reports += split.peer_reports(region, now)
             split.report_counts[region] = len(reports)
             if reports:
@@ -391,14 +390,28 @@
                     # Most requests there are those of other VMs, so few own
                     # ones do not show that the region is idle.
                     load = max(load, ASSUMED_LOAD)
-                elif region in split.latency_ratios:
-                    # Without answers, there is no evidence that this region is
-                    # still slow.
-                    split.latency_ratios[region] *= 1.0 - ESTIMATE_WEIGHT
             average = split.loads.get(region, ASSUMED_LOAD)
             split.loads[region] = average + weight * (load - average)
         split.load_reports.clear()
 
+    def update_local(
+        self,
+        split: ServiceSplit,
+        reports: collections.abc.Sequence[float],
+        now: float,
+    ) -> None:
+        """Update what the answers of one step tell of this region.
+
+        ``reports`` are the loads in answers to requests of this VM.
+        """
+        if reports:
+            split.local_summary = summarize(reports)
+            split.local_summary_at = now
+        elif self.region in split.latency_ratios:
+            # Without answers, there is no evidence that this region is still
+            # slow.
+            split.latency_ratios[self.region] *= 1.0 - ESTIMATE_WEIGHT
+
     def shift_lost_slots(self, split: ServiceSplit, local_slots: int) -> None:
         """Shift requests at once after a large loss of local slots.
 
--- a/tests/test_steering_regions.py
+++ b/tests/test_steering_regions.py
@@ -183,6 +183,26 @@
             self.run_step(step * 0.1)
         self.assertLess(split.remote_share, 0.5)
 
+    def test_reports_of_other_vms_do_not_keep_a_region_slow(self) -> None:
+        """Guards against avoiding a region because other VMs still use it.
+
+        Their load reports tell nothing of its latency.
+        """
+        split = self.splitter.service_split('orders', 0.0)
+        split.remote_share = 1.0
+        split.latency_ratios = {'a': 3.0, 'b': 0.4, 'c': 0.4}
+        for step in range(1, 400):
+            now = step * 0.1
+            self.splitter.record_summary(
+                'orders', 'a', steering.LoadSummary(0.3, 4), now
+            )
+            for server in self.table.by_id.values():
+                if server.region != 'a':
+                    self.splitter.record_load(server, 1, 0)
+                    self.splitter.record_latency(server, 0.16, 0.4)
+            self.run_step(now)
+        self.assertLess(split.remote_share, 0.5)
+
     def test_requests_shift_at_once_after_a_loss_of_slots(self) -> None:
         """Guards against long queues after half of the servers are gone.
 
