--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -36,9 +36,6 @@
 # announces in ``Keep-Alive``, to allow for network delay and late timers.
 KEEPALIVE_MARGIN_S: typing.Final = 1.5
 
-# Lowest HTTP status of a response that is not interim.
-MIN_FINAL_STATUS: typing.Final = 200
-
 # Upper limit for idle connections, whatever timeout servers announce.
 MAX_KEEPALIVE_TIMEOUT_S: typing.Final = 15.0
 
@@ -56,7 +53,10 @@
 # content of the body: empty lines, an unfinished head, extensions of chunks.
 MAX_OVERHEAD_BYTES: typing.Final = 64 * 1024
 
-# Interim responses (HTTP status 1xx) to one request.
+# Lowest HTTP status of a response that is not interim.
+MIN_FINAL_STATUS: typing.Final = 200
+
+# Interim responses to one request.
 MAX_INTERIM_RESPONSES: typing.Final = 32
 
 # Data of one read that is parsed at a time outside of bodies.
--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -64,11 +64,7 @@
         if request.path == TOKENS_PATH:
             return self.handle_tokens(await request.read())
         if request.path == _load_exchange.LOADS_PATH:
-            return _web.json_response(
-                _load_exchange.loads_answer(
-                    self.state.regions, self.clock.now()
-                )
-            )
+            return self.handle_loads()
         return web.Response(status=404)
 
     def handle_knowledge(self, request: web.BaseRequest) -> web.Response:
@@ -99,6 +95,12 @@
                 fault=renewed.err_value.value,
             )
 
+    def handle_loads(self) -> web.Response:
+        """Tell a peer the loads of this VM's region."""
+        return _web.json_response(
+            _load_exchange.loads_answer(self.state.regions, self.clock.now())
+        )
+
     def handle_tokens(self, body: bytes) -> web.Response:
         """Give tokens of an account that this VM does not need to a peer."""
         try:
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -96,14 +96,14 @@
 # split takes precedence over keeping an object in one region.
 MIN_LAG_REQUESTS: typing.Final = 6.0
 
-# Relative growth of a region's weight for each request that it lags behind.
-LAG_WEIGHT_GAIN: typing.Final = 0.1
-
 # The same limit as a share of a VM's requests in a window.  It is multiplied
 # by the square root of the number of VMs, because their lags partly cancel
 # out, and stays far below ``Bounds.max_shift_share``.
 LAG_SHARE_OF_REQUESTS: typing.Final = 0.025
 
+# Relative growth of a region's weight for each request that it lags behind.
+LAG_WEIGHT_GAIN: typing.Final = 0.1
+
 
 class LoadSummary(typing.NamedTuple):
     """Mean of the loads that servers of a region reported, and their number.
@@ -115,6 +115,13 @@
     reports: int
 
 
+class TimedSummary(typing.NamedTuple):
+    """A summary, and the time in seconds at which this VM got it."""
+
+    summary: LoadSummary
+    at: float
+
+
 class ServiceSplit:
     """Split of the requests for one service that arrive in this region.
 
@@ -130,12 +137,10 @@
         # reported since the last step.
         self.loads: dict[str, float] = {}
         self.load_reports: dict[str, list[float]] = {}
-        # The newest summary of another VM's reports by region, and its time.
-        self.peer_summaries: dict[str, tuple[LoadSummary, float]] = {}
-        # Reports by servers of this region in the last step that had any, and
-        # the time of that step.
-        self.local_summary = LoadSummary(0.0, 0)
-        self.local_summary_at = float('-inf')
+        # The newest summary of another VM's reports by region.
+        self.peer_summaries: dict[str, TimedSummary] = {}
+        # Reports by servers of this region in the last step that had any.
+        self.local_summary: TimedSummary | None = None
         # Number of load reports by region in the last step.
         self.report_counts: dict[str, int] = {}
         # Moving averages of the latency relative to the target, by region.
@@ -152,11 +157,10 @@
 
     def peer_reports(self, region: str, now: float) -> list[float]:
         """Return the loads of a region that another VM recently received."""
-        summary, received_at = self.peer_summaries.get(
-            region, (LoadSummary(0.0, 0), now)
-        )
-        if now - received_at > MAX_SUMMARY_AGE_S:
+        received = self.peer_summaries.get(region)
+        if received is None or now - received.at > MAX_SUMMARY_AGE_S:
             return []
+        summary = received.summary
         return [summary.load] * min(summary.reports, FULL_WEIGHT_REPORTS)
 
     def prune(self, now: float) -> None:
@@ -330,9 +334,10 @@
     def local_summaries(self, now: float) -> dict[str, LoadSummary]:
         """Return the recent loads of this region by service, for other VMs."""
         return {
-            service: split.local_summary
+            service: split.local_summary.summary
             for service, split in self.splits.items()
-            if now - split.local_summary_at <= MAX_SHARED_REPORT_AGE_S
+            if split.local_summary is not None
+            and now - split.local_summary.at <= MAX_SHARED_REPORT_AGE_S
         }
 
     def record_summary(
@@ -341,7 +346,7 @@
         """Record the loads of a region that another VM received."""
         split = self.splits.get(service)
         if split is not None:
-            split.peer_summaries[region] = (summary, now)
+            split.peer_summaries[region] = TimedSummary(summary, now)
 
     def record_latency(
         self, server: _servers.ServerRecord, took_s: float, target_s: float
@@ -405,8 +410,7 @@
         ``reports`` are the loads in answers to requests of this VM.
         """
         if reports:
-            split.local_summary = summarize(reports)
-            split.local_summary_at = now
+            split.local_summary = TimedSummary(summarize(reports), now)
         elif self.region in split.latency_ratios:
             # Without answers, there is no evidence that this region is still
             # slow.
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -220,9 +220,7 @@
     def test_regions_with_enough_slots_keep_their_requests(self) -> None:
         """Guards against regions that exchange their requests.
 
-        Regions b and c have twice the slots that their requests need, and
-        nevertheless sent 70% of them to each other, because each VM knew only
-        the load of servers to which it sent requests (calibration-short).
+        Regions b and c have twice the slots that their requests need.
         """
         workload = WORKLOAD._replace(
             rates_per_s={'a': 11.5, 'b': 11.5, 'c': 11.5}
@@ -242,8 +240,8 @@
     def test_a_service_recovers_from_empty_caches(self) -> None:
         """Guards against an overload that lasts because of its own effects.
 
-        Requests that spread over servers and regions ran without their objects
-        cached, and kept all slots in use (calibration-short).
+        Requests that spread over servers and regions run without their objects
+        cached, and keep all slots in use.
         """
         workload = WORKLOAD._replace(
             rates_per_s={'a': 8.0, 'b': 8.0, 'c': 8.0}
--- a/tests/test_steering_regions.py
+++ b/tests/test_steering_regions.py
@@ -98,12 +98,7 @@
         self.assertEqual(split.remote_share, before)
 
     def test_a_region_without_load_reports_is_not_taken_for_idle(self) -> None:
-        """Guards against regions that exchange their requests.
-
-        A full region sent requests to another one, of which it had no reports
-        and believed in a load of 0.09; the VMs there saw 0.85 and did the same
-        (calibration-short).
-        """
+        """Guards against full regions that exchange their requests."""
         split = self.splitter.service_split('orders', 0.0)
         for step in range(1, 201):
             for server in self.table.by_id.values():
@@ -319,9 +314,7 @@
     ) -> None:
         """Guards against uncached runs of a service with few requests.
 
-        Whenever a region lagged behind its weight by one request, it got the
-        next one, whatever its object (calibration-short: eight requests for
-        calib-history in a window and VM).
+        A VM gets eight of its requests in a window.
         """
         for remote_share in (0.2, 0.5, 0.8):
             with self.subTest(remote_share=remote_share):
