Wait for answers in write buffers before a stopping VM exits

Callers got no answer, or the beginning of one, from a VM that stopped; or their request on a kept connection was passed on and its connection closed.

The VM ended as soon as no handler was running. aiohttp writes an answer after its handler has returned, and the event loop keeps what the caller has not taken yet; the exit 0.1 s later discarded both.

Idle connections stayed open after the listeners had closed. While another request ran, a request on one of them was passed on however late it came, and cut off at the exit.

A stopping VM now closes each connection once it is idle and its answers are sent, and ends when none is left, or at the deadline as before. A connection is idle if no part of an unanswered request was read from it.

--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -19,14 +19,6 @@
 from filbertstep.entry import _state
 from filbertstep.entry import _supervision
 
-# Limits what aiohttp parses in one header or request line; the configured
-# limit is checked on the whole head.
-MAX_PARSED_LINE_BYTES: typing.Final = 64 * 1024
-
-# Callers reuse connections that were idle for up to four fifths of the
-# configured limit, so this must exceed any limit that operators set.
-KEEPALIVE_TIMEOUT_S: typing.Final = 75.0
-
 # Short, because a VM that stops must keep serving until callers have looked up
 # again.
 LOOKUP_TTL_S: typing.Final = 1.0
@@ -35,21 +27,6 @@
 HEADER_SEPARATOR_BYTES: typing.Final = 4
 
 
-def make_http_server(handler: typing.Any) -> web.Server:
-    """Return a low-level server; Any: aiohttp's handler type is private."""
-    return web.Server(
-        handler,
-        access_log=None,
-        handler_cancellation=True,
-        auto_decompress=False,
-        keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-        logger=_web.SILENCED_LOGGER,
-        max_line_size=MAX_PARSED_LINE_BYTES,
-        max_field_size=MAX_PARSED_LINE_BYTES,
-        lingering_time=1.0,
-    )
-
-
 class RunningRequest:
     """A request without a written answer; ``arrived_at`` is VM time."""
 
--- /dev/null
+++ b/filbertstep/entry/_connections.py
@@ -0,0 +1,98 @@
+"""Callers' connections, which a VM that stops closes without losing answers.
+
+aiohttp has no public way to tell whether a connection is idle.
+"""
+
+import asyncio
+import typing
+
+from aiohttp import web
+from aiohttp import web_protocol
+
+from filbertstep import _web
+
+# Limits what aiohttp parses in one header or request line; the configured
+# limit is checked on the whole head.
+MAX_PARSED_LINE_BYTES: typing.Final = 64 * 1024
+
+# Callers reuse connections that were idle for up to four fifths of the
+# configured limit, so this must exceed any limit that operators set.
+KEEPALIVE_TIMEOUT_S: typing.Final = 75.0
+
+
+class CallerConnection(web_protocol.RequestHandler):
+    """A connection that knows whether a request has begun to arrive."""
+
+    __slots__ = ('head_incomplete',)
+
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.head_incomplete = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse data from the caller."""
+        requests_before = self._request_count
+        super().data_received(data)
+        if self._request_count > requests_before:
+            self.head_incomplete = False
+        elif self.awaits_request:
+            self.head_incomplete = True
+
+    @property
+    def awaits_request(self) -> bool:
+        """Whether all requests whose heads were read are answered."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing of an unanswered request was read."""
+        return self.awaits_request and not self.head_incomplete
+
+
+class CallerServer(web.Server):
+    """Low-level HTTP server whose connections can be closed when idle."""
+
+    def __call__(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+    def close_idle(self) -> int:
+        """Close the idle connections; return how many there were.
+
+        What is left of their last answers is still sent.
+        """
+        idle = [
+            connection
+            for connection in self.connections
+            if isinstance(connection, CallerConnection) and connection.is_idle
+        ]
+        for connection in idle:
+            connection.force_close()
+        return len(idle)
+
+    async def drain(self, poll_interval_s: float) -> int:
+        """Close each connection once it is idle and its answers are sent.
+
+        Returns how many were closed.  Does not
+        end before the last caller has taken its answer.
+        """
+        closed = 0
+        while self.connections:
+            closed += self.close_idle()
+            await asyncio.sleep(poll_interval_s)
+        return closed
+
+
+def make_http_server(handler: typing.Any) -> CallerServer:
+    """Return a low-level server; Any: aiohttp's handler type is private."""
+    return CallerServer(
+        handler,
+        access_log=None,
+        handler_cancellation=True,
+        auto_decompress=False,
+        keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+        logger=_web.SILENCED_LOGGER,
+        max_line_size=MAX_PARSED_LINE_BYTES,
+        max_field_size=MAX_PARSED_LINE_BYTES,
+        lingering_time=1.0,
+    )
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -19,6 +19,7 @@
 from filbertstep import metrics
 from filbertstep import steering
 from filbertstep.entry import _callers
+from filbertstep.entry import _connections
 from filbertstep.entry import _contracts
 from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
@@ -44,7 +45,7 @@
 # still run.
 FORCED_EXIT_FRACTION_OF_STOP: typing.Final = 0.97
 
-IDLE_CLOSE_TIMEOUT_S: typing.Final = 0.1
+DRAIN_POLL_INTERVAL_S: typing.Final = 0.01
 
 # Connections that the kernel queues until a listener accepts them.
 LISTEN_BACKLOG: typing.Final = 1024
@@ -160,24 +161,30 @@
             running = _supervision.supervise(name, work, self.log)
             self.tasks.append(asyncio.ensure_future(running))
         settings = self.settings
-        caller_server = _callers.make_http_server(self.caller_listener.handle)
+        caller_server = _connections.make_http_server(
+            self.caller_listener.handle
+        )
         for address, server in (
             (settings.caller_address, caller_server),
             (
                 settings.lookup_address,
-                _callers.make_http_server(self.lookup_listener.handle_lookup),
+                _connections.make_http_server(
+                    self.lookup_listener.handle_lookup
+                ),
             ),
             (
                 settings.ready_address,
-                _callers.make_http_server(self.lookup_listener.handle_ready),
+                _connections.make_http_server(
+                    self.lookup_listener.handle_ready
+                ),
             ),
             (
                 settings.peer_address,
-                _callers.make_http_server(self.peer_listener.handle),
+                _connections.make_http_server(self.peer_listener.handle),
             ),
             (
                 f'{settings.host}:{settings.metrics_port}',
-                _callers.make_http_server(self.handle_metrics),
+                _connections.make_http_server(self.handle_metrics),
             ),
         ):
             await self.listen(address, server)
@@ -263,7 +270,9 @@
         self.state.set_settings(settings)
         self.log.write('reload', reason=reason, changed=True)
 
-    async def shut_down(self, caller_server: web.Server) -> None:
+    async def shut_down(
+        self, caller_server: _connections.CallerServer
+    ) -> None:
         """Deregister, serve late requests, and close all connections.
 
         New requests are accepted until callers have stopped using old
@@ -281,8 +290,9 @@
             listener.close()
         self.log.write('refusing', **self.stop_fields(started, caller_server))
         deadline = started + FORCED_EXIT_FRACTION_OF_STOP * stop_timeout_s
-        while running and self.clock.now() < deadline:
-            await asyncio.sleep(TICK_INTERVAL_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(deadline - self.clock.now()):
+                await caller_server.drain(DRAIN_POLL_INTERVAL_S)
         for request in running:
             self.log.write(
                 'request_cut',
@@ -291,16 +301,12 @@
                 age_s=round(self.clock.now() - request.arrived_at, 3),
             )
         self.log.write('stopped', **self.stop_fields(started, caller_server))
-        # Closes the idle connections; running requests have had their time.
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_CLOSE_TIMEOUT_S):
-                await caller_server.shutdown(IDLE_CLOSE_TIMEOUT_S)
         for task in [*self.tasks, deregistration]:
             task.cancel()
         self.log.flush()
 
     def stop_fields(
-        self, started: float, caller_server: web.Server
+        self, started: float, caller_server: _connections.CallerServer
     ) -> dict[str, _log.FieldValue]:
         """Return the fields of the log lines about the stop."""
         return {
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -12,6 +12,7 @@
 from filbertstep import platform
 from filbertstep import steering
 from filbertstep.entry import _callers
+from filbertstep.entry import _connections
 from filbertstep.entry import _messages
 from tests import test_forward_endless
 from tests import test_forward_faulty
@@ -68,7 +69,7 @@
             platform.PlatformAdapter('').wire_format(),
             clock.SystemClock(),
         )
-        self.http_server = _callers.make_http_server(listener.handle)
+        self.http_server = _connections.make_http_server(listener.handle)
         self.addAsyncCleanup(self.http_server.shutdown, 0.1)
         loop = asyncio.get_running_loop()
         server = await loop.create_server(self.http_server, '127.0.0.1', 0)
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -105,6 +105,29 @@
             ids.append(rest.partition(b'\r\n')[0].decode())
         return ids
 
+    async def test_late_request_on_a_kept_connection_is_not_given_up(
+        self,
+    ) -> None:
+        """Guards against passing on what the exit of the process cuts off.
+
+        A connection that is idle when requests are no longer accepted closes.
+        """
+        kept = await self.connect()
+        kept.send('first')
+        self.assertEqual((await kept.read_answer())[0], 200)
+        self.delay_s = 0.8 * GRACE_S
+        running = await self.connect()
+        running.send('running')
+        await asyncio.sleep(0.1)
+        await self.request_stop()
+        await asyncio.sleep(LATE_S)
+        kept.send('late')
+        with self.assertRaises((asyncio.IncompleteReadError, OSError)):
+            await kept.read_head()
+        self.assertEqual((await running.read_answer())[0], 200)
+        await self.finish()
+        self.assertEqual(self.passed_on(), ['first', 'running'])
+
     async def test_request_cut_by_the_exit_is_logged(self) -> None:
         """Guards against a lost request whose id leads to no line."""
         self.delay_s = 2 * GRACE_S
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -8,7 +8,7 @@
 
 from filbertstep import clock
 from filbertstep import steering
-from filbertstep.entry import _callers
+from filbertstep.entry import _connections
 from filbertstep.entry import _load_exchange
 from filbertstep.entry import _peers
 from tests import caching_fleet
@@ -75,7 +75,7 @@
         listener = _peers.PeerListener(
             self.peer.state, any_part, any_part, self.peer.clock, any_part
         )
-        http_server = _callers.make_http_server(listener.handle)
+        http_server = _connections.make_http_server(listener.handle)
         self.addAsyncCleanup(http_server.shutdown, 0.1)
         loop = asyncio.get_running_loop()
         server = await loop.create_server(http_server, '127.0.0.1', 0)
