Start no attempt that the exit of a stopping VM would cut off

What callers saw: a request that a VM accepted while it stopped could be sent to a server, once more or after a wait for a slot, when the time until the exit no longer sufficed; its connection then closed without an answer.

Cause: the choice of a server, retries, hedges and waits knew the deadline of the caller, but not that of the process.

An attempt whose estimated end is after the exit is not started. Waits for a slot end before the exit.

Without the change, the new tests fail: a request and a retry are sent (`None is not <ErrorKind.STOPPING>`), and waits have no limit.

--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -266,6 +266,9 @@
         self.state.stop.begin(
             self.clock.now(), self.settings.bounds.stop_grace_s
         )
+        self.state.wait_queue.limit_waits(
+            self.state.stop.exits_at - _requests.MIN_ATTEMPT_S
+        )
         self.stop_requested.set()
 
     async def shut_down(
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -300,6 +300,8 @@
                 'no time is left',
                 _messages.MIN_RETRY_AFTER_S,
             )
+        if not self.can_finish(best, now):
+            return self.refuse_stopping()
         if best.can_send_now and not state.wait_queue.length(query.service):
             steering.reserve_slot(best, now)
             return best
@@ -312,7 +314,11 @@
             effective_priority(admitted),
             now,
             target,
-            min(now + max_wait_s, admitted.deadline - MIN_ATTEMPT_S),
+            min(
+                now + max_wait_s,
+                admitted.deadline - MIN_ATTEMPT_S,
+                state.stop.exits_at - MIN_ATTEMPT_S,
+            ),
         )
         state.wait_queue.add(waiter)
         state.wait_queue.dispatch(query.service, now)
@@ -328,8 +334,15 @@
             state.wait_queue.discard(waiter)
         if reserved is None:
             return self.refuse_no_slot(best.slot_wait_s)
+        if not self.can_finish(reserved, self.clock.now()):
+            reserved.server.in_progress -= 1
+            return self.refuse_stopping()
         return reserved
 
+    def can_finish(self, candidate: steering.Candidate, now: float) -> bool:
+        """Return whether an answer is expected before this VM exits."""
+        return now + candidate.estimate_s < self.state.stop.exits_at
+
     def find_candidate(
         self,
         admitted: _messages.Admitted,
--- a/filbertstep/steering/_waiting.py
+++ b/filbertstep/steering/_waiting.py
@@ -61,6 +61,12 @@
         if request in queue:
             queue.remove(request)
 
+    def limit_waits(self, deadline: float) -> None:
+        """End all waits at a time that is given, or before."""
+        for queue in self.queues.values():
+            for request in queue:
+                request.deadline = min(request.deadline, deadline)
+
     def dispatch(self, service: str, now: float) -> None:
         """Dispatch the requests that can be sent, and end expired waits.
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -27,6 +27,9 @@
 
 KEY: typing.Final = 'k' * 20
 
+# Shorter than the estimated time of a request.
+STOP_TIMEOUT_S: typing.Final = 0.2
+
 Kind = delivery.ForwardOutcomeKind
 
 
@@ -575,3 +578,56 @@
         self.build()
         self.state.apply_change(_contracts.Change('strikes/v2', 9, b'{"a":1}'))
         self.assertEqual((await self.serve()).status, 200)
+
+
+class StoppingForwarder(FakeForwarder):
+    """Begins the stop of the VM when the first attempt was sent."""
+
+    stop: _stopping.Stop
+    now = 0.0
+
+    async def send(
+        self, attempt: delivery.Attempt, before_send: delivery.BeforeSend
+    ) -> delivery.ForwardOutcome:
+        """Return the next outcome after the stop has begun."""
+        self.stop.begin(self.now, STOP_TIMEOUT_S)
+        return await super().send(attempt, before_send)
+
+
+class TestStopping(RequestTestCase):
+    """Attempts that the exit of the process would cut off."""
+
+    async def test_request_that_cannot_finish_is_refused(self) -> None:
+        """Guards against passing on what another VM can serve to its end."""
+        self.build()
+        self.state.stop.begin(self.clock.now(), STOP_TIMEOUT_S)
+        reply = await self.serve()
+        self.assertIs(self.kind(reply), errors.ErrorKind.STOPPING)
+        self.assertEqual(self.forwarder.attempts, [])
+        self.assertEqual(self.requests_in_progress(), 0)
+
+    async def test_retry_that_cannot_finish_is_refused(self) -> None:
+        """Guards against a further attempt that is cut off."""
+        self.build()
+        forwarder = StoppingForwarder(SHED)
+        forwarder.stop, forwarder.now = self.state.stop, self.clock.now()
+        self.system.attempt_sender.forwarder = forwarder
+        reply = await self.serve()
+        self.assertIs(self.kind(reply), errors.ErrorKind.STOPPING)
+        self.assertEqual(len(forwarder.attempts), 1)
+        self.assertEqual(self.requests_in_progress(), 0)
+
+    async def test_waiting_request_is_refused_before_the_exit(self) -> None:
+        """Guards against the exit while a request waits for a slot."""
+        self.build(target_s=20.0)
+        for server in self.state.servers.by_id.values():
+            server.in_progress = server.entry.slots
+        serving = asyncio.ensure_future(self.serve())
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.state.wait_queue.length('orders'), 1)
+        now = self.clock.now()
+        self.state.wait_queue.limit_waits(now)
+        self.state.wait_queue.dispatch('orders', now)
+        reply = await serving
+        self.assertIs(self.kind(reply), errors.ErrorKind.NO_ROOM)
+        self.assertEqual(self.forwarder.attempts, [])
