Let callers of the fleet soak keep connections that they rarely use

Its callers used each connection four times a second, so that none stayed open until the listeners closed, and its servers answered in 0.1 s.

Two callers in five now send a request every 1.5 s on average, which takes 0.8 s on average, and keep their connection.

--- a/tests/fleet_soak/_callers.py
+++ b/tests/fleet_soak/_callers.py
@@ -15,6 +15,11 @@
 # Mean time between two requests of the same caller.
 MEAN_REQUEST_INTERVAL_S: typing.Final = 0.25
 
+# Fraction of the callers whose requests are rare and take long.  They keep
+# their connection and stay with a VM until an attempt fails.
+RARE_CALLER_FRACTION: typing.Final = 0.4
+MEAN_RARE_INTERVAL_S: typing.Final = 1.5
+
 # Time limit of a request, including retries.
 REQUEST_DEADLINE_S: typing.Final = 3.0
 
@@ -51,6 +56,7 @@
         self.name = f'c{number}'
         self.zone = self.rng.choice(list(_world.REGION_BY_ZONE))
         self.sticky = self.rng.random() < STICKY_CALLER_FRACTION
+        self.rare = self.rng.random() < RARE_CALLER_FRACTION
         self.attempt_count = 0
         self.resolved_addresses: list[str] = []
         self.resolved_until = 0.0
@@ -74,11 +80,13 @@
 
     async def send_requests(self) -> None:
         """Send requests until ``stopping`` is set."""
+        mean_interval_s = (
+            MEAN_RARE_INTERVAL_S if self.rare else MEAN_REQUEST_INTERVAL_S
+        )
         while not self.stopping:
-            await asyncio.sleep(
-                self.rng.expovariate(1 / MEAN_REQUEST_INTERVAL_S)
-            )
-            await self.send_request()
+            await asyncio.sleep(self.rng.expovariate(1 / mean_interval_s))
+            if not self.stopping:
+                await self.send_request()
 
     async def send_request(self) -> None:
         """Send a request and retry it at most once, if a retry is safe.
@@ -90,6 +98,8 @@
         _, idempotent = self.world.routes[prefix]
         key = self.choose_key()
         path = f'{prefix}{rng.randrange(OBJECT_COUNT)}'
+        if self.rare:
+            path = f'{prefix}{_world.LONG_OBJECT}'
         deadline = self.world.now() + REQUEST_DEADLINE_S
         for _ in range(2):
             result, retry_after_s = await self.send_attempt(
@@ -198,7 +208,7 @@
     async def choose_vm(self) -> str:
         """Return the address of the VM for the next attempt."""
         now = self.world.now()
-        if self.vm_address and self.sticky:
+        if self.vm_address and (self.sticky or self.rare):
             return self.vm_address
         if now >= self.resolved_until:
             await self.resolve_addresses()
--- a/tests/fleet_soak/_world.py
+++ b/tests/fleet_soak/_world.py
@@ -47,6 +47,11 @@
 MAX_QUEUED_REQUESTS: typing.Final = 4
 MEAN_EXECUTION_S: typing.Final = 0.08
 
+# The object whose requests take long, but less than a VM that stops has left
+# when it no longer accepts requests.
+LONG_OBJECT: typing.Final = 'long'
+LONG_EXECUTION_S: typing.Final = 0.8
+
 # Time from the crash of a server until the store deletes its entry.
 ENTRY_EXPIRY_S: typing.Final = 4.5
 
@@ -188,8 +193,13 @@
             asyncio.ensure_future(self.world.crash_server(self, 2.0))
             await asyncio.sleep(1.0)
         rng = self.world.rng
+        mean_execution_s = (
+            LONG_EXECUTION_S
+            if request.path.endswith(LONG_OBJECT)
+            else MEAN_EXECUTION_S
+        )
         await asyncio.sleep(
-            MEAN_EXECUTION_S
+            mean_execution_s
             * self.execution_time_factor
             * rng.uniform(0.5, 1.5)
         )
