--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -17,43 +17,25 @@
 from filbertstep.entry import _messages
 from filbertstep.entry import _requests
 from filbertstep.entry import _state
+from filbertstep.entry import _stopping
 from filbertstep.entry import _supervision
 
-# Limits what aiohttp parses in one header or request line; the configured
-# limit is checked on the whole head.
-MAX_PARSED_LINE_BYTES: typing.Final = 64 * 1024
-
-# Callers reuse connections that were idle for up to four fifths of the
-# configured limit, so this must exceed any limit that operators set.
-KEEPALIVE_TIMEOUT_S: typing.Final = 75.0
-
-# Short, because a VM that stops must keep serving until callers have looked up
-# again.
-LOOKUP_TTL_S: typing.Final = 1.0
-
 # Colon, space and line end (CRLF).
 HEADER_SEPARATOR_BYTES: typing.Final = 4
 
 
-def make_http_server(handler: typing.Any) -> web.Server:
-    """Return a low-level server; Any: aiohttp's handler type is private."""
-    return web.Server(
-        handler,
-        access_log=None,
-        handler_cancellation=True,
-        auto_decompress=False,
-        keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-        logger=_web.SILENCED_LOGGER,
-        max_line_size=MAX_PARSED_LINE_BYTES,
-        max_field_size=MAX_PARSED_LINE_BYTES,
-        lingering_time=1.0,
-    )
+class RunningRequest:
+    """A request without a written answer; ``arrived_at`` is VM time."""
+
+    def __init__(self, request_id: str, arrived_at: float) -> None:
+        self.request_id = request_id
+        self.arrived_at = arrived_at
 
 
 class CallerListener:
     """HTTP handler for callers' requests.
 
-    While ``stopping``, each answer closes its connection.
+    ``running`` holds the requests that are being handled.
     """
 
     def __init__(
@@ -67,13 +49,16 @@
         self.state = state
         self.wire_format = wire_format
         self.clock = time_source
-        self.stopping = False
-        self.running_requests = 0
+        self.running: set[RunningRequest] = set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
         arrived_at = self.clock.now()
-        self.running_requests += 1
+        running = RunningRequest(
+            request.headers.get(self.wire_format.request_id_header, ''),
+            arrived_at,
+        )
+        self.running.add(running)
         try:
             refusal = self.check_limits(request)
             if refusal is not None:
@@ -102,7 +87,7 @@
                 )
             return await self.send(request, reply)
         finally:
-            self.running_requests -= 1
+            self.running.discard(running)
 
     def handle_disconnect(
         self, call: _messages.Call, work: asyncio.Future[_messages.Reply]
@@ -187,7 +172,7 @@
                 response.headers[name] = value
             else:
                 response.headers.add(name, value)
-        if self.stopping:
+        if not self.state.stop.rules(self.clock.now()).keeps_connections:
             response.force_close()
         if reply.stream is None:
             return response
@@ -264,13 +249,11 @@
         state: _state.State,
         own_member: steering.Member,
         wire_format: _contracts.WireFormat,
-        caller_listener: CallerListener,
         time_source: clock.Clock,
     ) -> None:
         self.state = state
         self.own_member = own_member
         self.wire_format = wire_format
-        self.caller_listener = caller_listener
         self.clock = time_source
 
     async def handle_lookup(
@@ -283,14 +266,17 @@
         if lookup is None:
             return web.Response(status=400)
         members = dict(self.state.members.live)
-        if self.caller_listener.stopping:
+        if not self.state.stop.rules(self.clock.now()).listed:
             members.pop(self.own_member.vm, None)
         nearest_vms = steering.nearest_members(
             members.values(), lookup.region, lookup.availability_zone
         )
         if not nearest_vms:
             return web.Response(status=503)
-        ttl_s = min(LOOKUP_TTL_S, self.state.settings.bounds.max_lookup_ttl_s)
+        ttl_s = min(
+            _stopping.LOOKUP_TTL_S,
+            self.state.settings.bounds.max_lookup_ttl_s,
+        )
         body = self.wire_format.format_lookup_answer(
             [member.callers for member in nearest_vms], ttl_s
         )
@@ -302,7 +288,6 @@
         """Answer 200 if this VM accepts requests of callers, else 503."""
         if request.path != self.wire_format.ready_path:
             return web.Response(status=404)
-        ready = not self.caller_listener.stopping and self.state.is_ready(
-            self.clock.now()
-        )
+        now = self.clock.now()
+        ready = self.state.stop.rules(now).listed and self.state.is_ready(now)
         return web.Response(status=200 if ready else 503)
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -19,6 +19,7 @@
 from filbertstep import metrics
 from filbertstep import steering
 from filbertstep.entry import _callers
+from filbertstep.entry import _connections
 from filbertstep.entry import _contracts
 from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
@@ -33,19 +34,11 @@
 
 TICK_INTERVAL_S: typing.Final = 0.05
 
+DRAIN_POLL_INTERVAL_S: typing.Final = 0.01
+
 # The settings file may change without a signal.
 SETTINGS_CHECK_INTERVAL_S: typing.Final = 1.0
 
-# Fraction of the stop timeout during which new requests are still accepted:
-# callers use an old look-up for up to three times its lifetime.
-ACCEPTING_FRACTION_OF_STOP: typing.Final = 0.55
-
-# Fraction of the stop timeout after which the process exits even if requests
-# still run.
-FORCED_EXIT_FRACTION_OF_STOP: typing.Final = 0.97
-
-IDLE_CLOSE_TIMEOUT_S: typing.Final = 0.1
-
 # Connections that the kernel queues until a listener accepts them.
 LISTEN_BACKLOG: typing.Final = 1024
 
@@ -130,7 +123,6 @@
             self.state,
             self.own_member,
             wire_format,
-            self.caller_listener,
             self.clock,
         )
         self.peer_listener = _peers.PeerListener(
@@ -145,8 +137,8 @@
     async def run(self) -> None:
         """Serve until a signal requests a stop."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self.stop_requested.set)
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
+        loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload, 'signal')
         for name, work in (
             ('store', self.store_sync.run_store),
@@ -160,24 +152,30 @@
             running = _supervision.supervise(name, work, self.log)
             self.tasks.append(asyncio.ensure_future(running))
         settings = self.settings
-        caller_server = _callers.make_http_server(self.caller_listener.handle)
+        caller_server = _connections.make_http_server(
+            self.caller_listener.handle
+        )
         for address, server in (
             (settings.caller_address, caller_server),
             (
                 settings.lookup_address,
-                _callers.make_http_server(self.lookup_listener.handle_lookup),
+                _connections.make_http_server(
+                    self.lookup_listener.handle_lookup
+                ),
             ),
             (
                 settings.ready_address,
-                _callers.make_http_server(self.lookup_listener.handle_ready),
+                _connections.make_http_server(
+                    self.lookup_listener.handle_ready
+                ),
             ),
             (
                 settings.peer_address,
-                _callers.make_http_server(self.peer_listener.handle),
+                _connections.make_http_server(self.peer_listener.handle),
             ),
             (
                 f'{settings.host}:{settings.metrics_port}',
-                _callers.make_http_server(self.handle_metrics),
+                _connections.make_http_server(self.handle_metrics),
             ),
         ):
             await self.listen(address, server)
@@ -263,38 +261,59 @@
         self.state.set_settings(settings)
         self.log.write('reload', reason=reason, changed=True)
 
-    async def shut_down(self, caller_server: web.Server) -> None:
+    def request_stop(self) -> None:
+        """Begin a planned stop; its times count from the signal."""
+        self.state.stop.begin(
+            self.clock.now(), self.settings.bounds.stop_grace_s
+        )
+        self.state.wait_queue.limit_waits(
+            self.state.stop.exits_at - _requests.MIN_ATTEMPT_S
+        )
+        self.stop_requested.set()
+
+    async def shut_down(
+        self, caller_server: _connections.CallerServer
+    ) -> None:
         """Deregister, serve late requests, and close all connections.
 
         New requests are accepted until callers have stopped using old
         look-ups; running ones may finish until shortly before the stop
         timeout.
         """
-        started = self.clock.now()
-        stop_timeout_s = self.settings.bounds.stop_grace_s
-        self.caller_listener.stopping = True
-        self.log.write('stop', running=self.caller_listener.running_requests)
+        stop, running = self.state.stop, self.caller_listener.running
+        self.log.write('stop', **self.stop_fields(caller_server))
         deregistration = asyncio.ensure_future(self.registration.deregister())
-        await asyncio.sleep(ACCEPTING_FRACTION_OF_STOP * stop_timeout_s)
+        await asyncio.sleep(stop.accepts_until - self.clock.now())
         for listener in self.listeners:
             listener.close()
-        deadline = started + FORCED_EXIT_FRACTION_OF_STOP * stop_timeout_s
-        while (
-            self.caller_listener.running_requests
-            and self.clock.now() < deadline
-        ):
-            await asyncio.sleep(TICK_INTERVAL_S)
-        self.log.write(
-            'stopped', running=self.caller_listener.running_requests
-        )
-        # Closes the idle connections; running requests have had their time.
+        self.log.write('refusing', **self.stop_fields(caller_server))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_CLOSE_TIMEOUT_S):
-                await caller_server.shutdown(IDLE_CLOSE_TIMEOUT_S)
+            async with asyncio.timeout(stop.exits_at - self.clock.now()):
+                await caller_server.drain(DRAIN_POLL_INTERVAL_S)
+        for request in running:
+            self.log.write(
+                'request_cut',
+                id=request.request_id,
+                sent=self.request_handler.is_sent(request.request_id),
+                age_s=round(self.clock.now() - request.arrived_at, 3),
+            )
+        self.log.write('stopped', **self.stop_fields(caller_server))
         for task in [*self.tasks, deregistration]:
             task.cancel()
         self.log.flush()
 
+    def stop_fields(
+        self, caller_server: _connections.CallerServer
+    ) -> dict[str, _log.FieldValue]:
+        """Return the fields of the log lines about the stop."""
+        now = self.clock.now()
+        return {
+            'after_s': round(now - self.state.stop.begun_at, 3),
+            'running': len(self.caller_listener.running),
+            'connections': len(caller_server.connections),
+            'refused': self.request_handler.stop_refusals,
+        }
+
 
 def format_by_name(values: dict[str, float]) -> list[str]:
     """Format values by name for a log line."""
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -61,11 +61,17 @@
         self.attempt_sender = attempt_sender
         self.counters = counters
         self.request_peer_tokens = request_peer_tokens
+        # Requests refused because this VM stops.
+        self.stop_refusals = 0
 
     def has_non_idempotent_in_flight(self, request_id: str) -> bool:
         """Return whether this id is of a non-idempotent request in flight."""
         return request_id in self.attempt_sender.non_idempotent_in_flight
 
+    def is_sent(self, request_id: str) -> bool:
+        """Return whether a server may have this request and still run it."""
+        return self.attempt_sender.forwarder.has_sent(request_id)
+
     async def serve(
         self,
         call: _messages.Call,
@@ -106,6 +112,8 @@
         Returns a failure reply if the request is refused.
         """
         state, now = self.state, self.clock.now()
+        if not state.stop.rules(now).accepts:
+            return self.refuse_stopping()
         configuration, routes = state.configuration, state.routes
         if configuration is None or routes is None:
             return _messages.failure_reply(
@@ -292,6 +300,8 @@
                 'no time is left',
                 _messages.MIN_RETRY_AFTER_S,
             )
+        if not self.can_finish(best, now):
+            return self.refuse_stopping()
         if best.can_send_now and not state.wait_queue.length(query.service):
             steering.reserve_slot(best, now)
             return best
@@ -304,7 +314,11 @@
             effective_priority(admitted),
             now,
             target,
-            min(now + max_wait_s, admitted.deadline - MIN_ATTEMPT_S),
+            min(
+                now + max_wait_s,
+                admitted.deadline - MIN_ATTEMPT_S,
+                state.stop.exits_at - MIN_ATTEMPT_S,
+            ),
         )
         state.wait_queue.add(waiter)
         state.wait_queue.dispatch(query.service, now)
@@ -320,8 +334,15 @@
             state.wait_queue.discard(waiter)
         if reserved is None:
             return self.refuse_no_slot(best.slot_wait_s)
+        if not self.can_finish(reserved, self.clock.now()):
+            reserved.server.in_progress -= 1
+            return self.refuse_stopping()
         return reserved
 
+    def can_finish(self, candidate: steering.Candidate, now: float) -> bool:
+        """Return whether an answer is expected before this VM exits."""
+        return now + candidate.estimate_s < self.state.stop.exits_at
+
     def find_candidate(
         self,
         admitted: _messages.Admitted,
@@ -365,6 +386,13 @@
             _messages.clamp_retry_after(slot_wait_s),
         )
 
+    def refuse_stopping(self) -> _messages.Reply:
+        """Return the failure reply while this VM stops and others serve."""
+        self.stop_refusals += 1
+        return _messages.failure_reply(
+            ErrorKind.STOPPING, 'this VM stops', _messages.MIN_RETRY_AFTER_S
+        )
+
     def may_retry(
         self,
         admitted: _messages.Admitted,
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -12,7 +12,9 @@
 from filbertstep import platform
 from filbertstep import steering
 from filbertstep.entry import _callers
+from filbertstep.entry import _connections
 from filbertstep.entry import _messages
+from filbertstep.entry import _stopping
 from tests import test_forward_endless
 from tests import test_forward_faulty
 
@@ -59,7 +61,7 @@
         self.log = mock.Mock()
         # Any: stands in for classes of which it has the used attributes only.
         state: typing.Any = types.SimpleNamespace(
-            configuration=configuration, log=self.log
+            configuration=configuration, log=self.log, stop=_stopping.Stop()
         )
         handler: typing.Any = ForwardingHandler(self.send)
         listener = _callers.CallerListener(
@@ -68,7 +70,7 @@
             platform.PlatformAdapter('').wire_format(),
             clock.SystemClock(),
         )
-        self.http_server = _callers.make_http_server(listener.handle)
+        self.http_server = _connections.make_http_server(listener.handle)
         self.addAsyncCleanup(self.http_server.shutdown, 0.1)
         loop = asyncio.get_running_loop()
         server = await loop.create_server(self.http_server, '127.0.0.1', 0)
