Keep connections whose first head began with them

What callers saw: a connection that had begun to send a request was closed without an answer at the end of the accepting time of a stop.

Cause: the first data of a connection can be read before the task of aiohttp waits for requests. Only data that was read during that wait counted as the beginning of a head, so the connection seemed idle. In the accepting time, answers close their connections, so most heads are the first of theirs.

Data before the first whole head now counts too.

Without the change, the new test fails: `True is not false`.

--- a/filbertstep/entry/_connections.py
+++ b/filbertstep/entry/_connections.py
@@ -35,7 +35,7 @@
         super().data_received(data)
         if self._request_count > requests_before:
             self.head_incomplete = False
-        elif self.awaits_request:
+        elif self.awaits_request or self._request_count == 0:
             self.head_incomplete = True
 
     @property
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -5,6 +5,7 @@
 import socket
 import typing
 import unittest
+import unittest.mock
 
 from aiohttp import web
 import uvloop
@@ -124,3 +125,23 @@
             await drain
 
         self.run_in_loop(steps)
+
+    def test_head_that_begins_with_the_connection_is_answered(self) -> None:
+        """Guards against closing on a head that was read with the connection.
+
+        Its first part can be read before aiohttp waits for requests.
+        """
+
+        async def steps(caller: CallerSide) -> None:
+            server_end = _connections.CallerConnection(
+                caller.server, loop=asyncio.get_running_loop()
+            )
+            transport = unittest.mock.create_autospec(asyncio.Transport)
+            server_end.connection_made(transport)
+            server_end.data_received(REQUEST[:10])
+            await caller.settle()
+            self.assertTrue(server_end.awaits_request)
+            self.assertFalse(server_end.is_idle)
+            server_end.force_close()
+
+        self.run_in_loop(steps)
