Read what has arrived before a stop closes connections

What callers saw: at the end of the accepting time of a stop, connections were reset although their requests had been sent up to 0.4 s before.

Cause: listeners and idle connections were closed by a timer. When the event loop was late, the timer ran before the loop had accepted connections and read requests that waited in the kernel, and closing a socket with unread data resets it.

Listeners now close when the kernel has no connection queued for them, or after 0.2 s; a connection with unread data is not idle. These requests get 503 and can use another VM.

--- a/filbertstep/entry/_connections.py
+++ b/filbertstep/entry/_connections.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import contextlib
+import select
 import typing
 
 from aiohttp import web
@@ -19,6 +21,9 @@
 # configured limit, so this must exceed any limit that operators set.
 KEEPALIVE_TIMEOUT_S: typing.Final = 75.0
 
+# Callers that connect without end must not keep the listeners open.
+MAX_ACCEPT_PENDING_S: typing.Final = 0.2
+
 
 class CallerConnection(web_protocol.RequestHandler):
     """A connection that knows whether a request has begun to arrive."""
@@ -48,6 +53,13 @@
         """Whether nothing of an unanswered request was read."""
         return self.awaits_request and not self.head_incomplete
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether data of the caller, or its close, waits in the kernel."""
+        return self.transport is not None and is_readable(
+            self.transport.get_extra_info('socket').fileno()
+        )
+
 
 class CallerServer(web.Server):
     """Low-level HTTP server whose connections can be closed when idle."""
@@ -64,7 +76,9 @@
         idle = [
             connection
             for connection in self.connections
-            if isinstance(connection, CallerConnection) and connection.is_idle
+            if isinstance(connection, CallerConnection)
+            and connection.is_idle
+            and not connection.has_unread_data
         ]
         for connection in idle:
             connection.force_close()
@@ -83,6 +97,28 @@
         return closed
 
 
+def is_readable(descriptor: int) -> bool:
+    """Return whether a socket has data to read or a connection to accept."""
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+async def accept_pending(listeners: list[asyncio.Server]) -> None:
+    """Accept the connections that the kernel has queued for listeners.
+
+    Closing a listener resets them, after callers may have sent requests.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(MAX_ACCEPT_PENDING_S):
+            while any(
+                is_readable(listening.fileno())
+                for listener in listeners
+                for listening in listener.sockets
+            ):
+                await asyncio.sleep(0)
+
+
 def make_http_server(handler: typing.Any) -> CallerServer:
     """Return a low-level server; Any: aiohttp's handler type is private."""
     return CallerServer(
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -284,6 +284,7 @@
         self.log.write('stop', **self.stop_fields(caller_server))
         deregistration = asyncio.ensure_future(self.registration.deregister())
         await asyncio.sleep(stop.accepts_until - self.clock.now())
+        await _connections.accept_pending(self.listeners)
         for listener in self.listeners:
             listener.close()
         self.log.write('refusing', **self.stop_fields(caller_server))
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -180,6 +180,26 @@
         stopped = await self.finish()
         self.assertEqual((stopped['refused'], stopped['running']), (1, 0))
 
+    async def test_requests_that_wait_in_the_kernel_are_answered(self) -> None:
+        """Guards against resetting connections whose requests were not read.
+
+        The event loop is late when the time to accept requests ends.
+        """
+        kept = await self.connect()
+        kept.send('first')
+        self.assertEqual((await kept.read_answer())[0], 200)
+        await self.request_stop()
+        self.process.send_signal(signal.SIGSTOP)
+        kept.send('kept')
+        new = await self.connect()
+        new.send('new')
+        await asyncio.sleep(LATE_S)
+        self.process.send_signal(signal.SIGCONT)
+        for caller in (kept, new):
+            self.assertEqual((await caller.read_answer())[0], 503)
+        await self.finish()
+        self.assertEqual(self.passed_on(), ['first'])
+
     async def test_request_cut_by_the_exit_is_logged(self) -> None:
         """Guards against a lost request whose id leads to no line."""
         self.delay_s = 2 * GRACE_S
