Revoke the lease of a VM that registers while it stops

What callers saw: look-ups named a VM for up to 3 s after SIGTERM, and its connections were refused from 2.75 s on.

Cause: a SIGTERM between the calls of the registration found no lease to revoke, and the last call then registered the VM.

The registration now ends the lease if a stop has begun meanwhile.

Without the change, the new test fails with TimeoutError: the lease is never revoked.

--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -162,8 +162,14 @@
             return self.log_failure('write', written.err_value)
         self.lease = lease
         self.log.write('registered', lease=lease)
+        await self.revoke_if_stopping()
         return True
 
+    async def revoke_if_stopping(self) -> None:
+        """End the lease if a stop began during the registration."""
+        if self.stopping:
+            await self.deregister()
+
     async def renew(self) -> bool:
         """Renew the lease; return whether it succeeded.
 
@@ -207,8 +213,9 @@
     async def deregister(self) -> None:
         """End the lease, so that look-ups no longer name this VM."""
         self.stopping = True
-        if self.lease:
-            ended = await self.store.revoke_lease(self.lease)
+        lease, self.lease = self.lease, 0
+        if lease:
+            ended = await self.store.revoke_lease(lease)
             if isinstance(ended, result.Err):
                 # The lease expires a few seconds later.
                 self.log_failure('leave', ended.err_value)
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -477,6 +477,24 @@
         self.assertNotIn('vms/v2', self.store.items)
         self.assertIn('fleet/v2', self.store.items)
 
+    async def test_vm_that_stops_while_it_registers_is_not_listed(
+        self,
+    ) -> None:
+        """Guards against registering after the start of a stop."""
+        registration = self.peer.registration
+        self.store.delay_s = 0.2
+        self.start_task(registration.run())
+        await self.wait_until(lambda: 'fleet/v2' in self.store.items)
+        await asyncio.sleep(0.1)
+        # The last call of the registration has been sent.
+        await registration.deregister()
+        await self.wait_until(
+            lambda: self.store.calls.get('kv-lease-end', 0) > 0
+        )
+        await asyncio.sleep(2 * self.store.delay_s)
+        self.assertNotIn('vms/v2', self.store.items)
+        self.assertEqual(registration.lease, 0)
+
 
 class TestMemberTable(unittest.TestCase):
     """Which VMs are listed and which count for quotas."""
