Repeat a failed deregistration while a VM stops

What callers saw: look-ups named a VM that stopped until its lease had expired, although the store had been away only at the signal.

Cause: deregistration was tried once.

Without the change, the new test fails with TimeoutError: the key stays, as the fake store does not end leases by itself. No run of a whole system has shown this fault.

--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -211,11 +211,18 @@
             self.log.write('departed_vm_removed', name=name, fault=fault)
 
     async def deregister(self) -> None:
-        """End the lease, so that look-ups no longer name this VM."""
+        """End the lease, so that look-ups no longer name this VM.
+
+        Repeated until the store answers; a peer must not renew the lease
+        meanwhile.
+        """
         self.stopping = True
         lease, self.lease = self.lease, 0
-        if lease:
+        while lease:
             ended = await self.store.revoke_lease(lease)
-            if isinstance(ended, result.Err):
-                # The lease expires a few seconds later.
-                self.log_failure('leave', ended.err_value)
+            if not isinstance(ended, result.Err) or (
+                ended.err_value is _contracts.StoreFault.LEASE_GONE
+            ):
+                return
+            self.log_failure('leave', ended.err_value)
+            await asyncio.sleep(REGISTRATION_RETRY_S)
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -495,6 +495,23 @@
         self.assertNotIn('vms/v2', self.store.items)
         self.assertEqual(registration.lease, 0)
 
+    async def test_failed_deregistration_is_repeated(self) -> None:
+        """Guards against look-ups that name a VM that has stopped.
+
+        The store does not answer at the signal; peers must not keep the lease
+        alive.
+        """
+        self.start_task(self.peer.registration.run())
+        await self.wait_until(lambda: 'vms/v2' in self.store.items)
+        self.store.status = 503
+        self.start_task(self.peer.registration.deregister())
+        await self.wait_until(
+            lambda: self.store.calls.get('kv-lease-end', 0) > 0
+        )
+        self.assertEqual(self.peer.registration.lease, 0)
+        self.store.status = 0
+        await self.wait_until(lambda: 'vms/v2' not in self.store.items)
+
 
 class TestMemberTable(unittest.TestCase):
     """Which VMs are listed and which count for quotas."""
