Keep what VMs know over a restore of the store

A store that is restored from an older copy shows servers as ready that had said since that they leave, servers that are gone, and an older configuration, and it lacks what was written since: servers that started, evacuations, VMs that count for rate limits.

Cause: positions order the changes of one era, but not the values of a copy against those that it lacks.

- a value of another era replaces a known one only if it is newer by what its writer put into it: born and seq_no of servers, also of removed ones, and the version of the configuration.
- keys that the copy lacks are held for 2.2 s, in which their writers write them again, and then deleted; a VM counts for rate limits for 12 s, as after the loss of its lease; the configuration stays;
- relays include what the relaying VM holds on to, so that VMs that start learn of it.

Evidence: with the recency of values and the holds taken out, four of the new tests fail: test_older_values_of_the_copy_are_ignored, test_what_the_copy_lacks_is_held, test_two_restores_in_a_row and test_started_vm_learns_from_a_peer_what_the_copy_lacks.

--- a/filbertstep/entry/__init__.py
+++ b/filbertstep/entry/__init__.py
@@ -17,6 +17,7 @@
 from filbertstep.entry._contracts import ParsedKey as ParsedKey
 from filbertstep.entry._contracts import Platform as Platform
 from filbertstep.entry._contracts import Position as Position
+from filbertstep.entry._contracts import Recency as Recency
 from filbertstep.entry._contracts import StoreClient as StoreClient
 from filbertstep.entry._contracts import StoreFault as StoreFault
 from filbertstep.entry._contracts import StoreResult as StoreResult
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -165,6 +165,17 @@
 DecodedValue = steering.Configuration | steering.ServerEntry | Evacuation
 
 
+class Recency(typing.NamedTuple):
+    """Orders the values that a key had, by what its writer put into them.
+
+    ``incarnation`` rises with each start of the writer, ``number`` with each
+    value that it writes.  Unlike revisions, both outlast a restored store.
+    """
+
+    incarnation: int
+    number: int
+
+
 class Decoder(abc.ABC):
     """Decodes the platform's store documents into this project's types."""
 
@@ -178,6 +189,10 @@
     ) -> result.Result[DecodedValue, str]:
         """Return the decoded value, or the reason why it is unreadable."""
 
+    @abc.abstractmethod
+    def recency(self, key: str, value: bytes) -> Recency | None:
+        """Return the recency of a value, None if it does not tell."""
+
 
 class LookupQuery(typing.NamedTuple):
     """Location of a caller that looks up VM addresses."""
--- a/filbertstep/entry/_knowledge.py
+++ b/filbertstep/entry/_knowledge.py
@@ -4,8 +4,14 @@
 read by this VM, or one that a peer relays together with its age.  This age
 bounds the use of an API key after its withdrawal, so nothing else, such as an
 open connection to the store, counts as a confirmation.
+
+When the store is restored from an older copy, a new era of its history starts.
+What this VM knows of the era before and the copy lacks stays in use until the
+writers had time to write it again, and values that are older than what this VM
+knows are ignored.
 """
 
+import abc
 import collections
 import collections.abc
 import typing
@@ -34,6 +40,36 @@
     position: _contracts.Position
 
 
+class Tombstone(typing.NamedTuple):
+    """Position of a key's deletion, and recency of its last known value."""
+
+    position: _contracts.Position
+    recency: _contracts.Recency | None
+
+
+class HeldDeletion(typing.NamedTuple):
+    """A deletion that is applied at the time ``until``."""
+
+    position: _contracts.Position
+    until: float
+
+
+class KeyRules(abc.ABC):
+    """What the replica has to know of the meaning of keys."""
+
+    @abc.abstractmethod
+    def is_leased(self, key: str) -> bool:
+        """Return whether the store deletes a key when a lease ends."""
+
+    @abc.abstractmethod
+    def restore_hold_s(self, key: str) -> float:
+        """Return for how long a key that a restored store lacks is kept."""
+
+    @abc.abstractmethod
+    def recency(self, key: str, value: bytes) -> _contracts.Recency | None:
+        """Return the recency of a value, None if it does not tell."""
+
+
 OnChange = collections.abc.Callable[[_contracts.Change], None]
 
 
@@ -42,26 +78,23 @@
 
     ``fresh_at`` is the latest time at which the copy is known to have been
     current, ``position`` the point in the store's history that it reflects.
-    ``is_leased`` tells whether the store deletes a key when a lease ends, and
     ``on_change`` is called for each change that is applied.
     """
 
-    def __init__(
-        self,
-        on_change: OnChange,
-        is_leased: collections.abc.Callable[[str], bool],
-    ) -> None:
+    def __init__(self, on_change: OnChange, rules: KeyRules) -> None:
         self.on_change = on_change
-        self.is_leased = is_leased
+        self.rules = rules
+        # Values that a restored store lacks keep their position of the era
+        # before.
         self.items: dict[str, StoredValue] = {}
-        self.tombstones: collections.OrderedDict[str, _contracts.Position] = (
+        self.tombstones: collections.OrderedDict[str, Tombstone] = (
             collections.OrderedDict()
         )
         # Deletions up to this position may be missing from ``tombstones``.
         self.tombstones_complete_after = START
         self.position = START
         self.fresh_at = float('-inf')
-        self.held_deletions: dict[str, _contracts.Position] = {}
+        self.held_deletions: dict[str, HeldDeletion] = {}
         self.hold_deletions_until = float('-inf')
 
     def age(self, now: float) -> float:
@@ -96,73 +129,162 @@
         fresh_at: float,
         now: float,
     ) -> None:
-        """Apply a full listing; known keys that it lacks were deleted."""
+        """Apply a full listing; known keys that it lacks were deleted.
+
+        In a new era, they may also have been lost.
+        """
         if batch.position < self.position:
             return
-        if self.fresh_at == float('-inf') or batch.era > self.position.era:
+        if batch.era > self.position.era:
             # The first listing of an era does not tell which keys were deleted
             # before it.
             self.tombstones_complete_after = batch.position
+            if self.fresh_at != float('-inf'):
+                self.hold_deletions_until = now + DELETION_HOLD_S
+        elif self.fresh_at == float('-inf'):
+            self.tombstones_complete_after = batch.position
         self.confirm_fresh(fresh_at, now)
         present = {change.key for change in batch.changes}
         for change in batch.changes:
             self.apply_change(change, now)
         for key in [key for key in self.items if key not in present]:
-            self.apply_change(
-                _contracts.Change(key, batch.revision, None, batch.era),
-                now,
-            )
+            self.apply_missing(key, batch.position, now)
         self.position = batch.position
 
+    def receive(
+        self,
+        batch: _contracts.ChangeBatch,
+        partial: bool,
+        fresh_at: float,
+        now: float,
+    ) -> None:
+        """Apply what a peer knows: changes, or its full content."""
+        if batch.era < self.position.era:
+            return
+        if fresh_at > self.fresh_at or batch.era > self.position.era:
+            if partial:
+                self.apply(batch, fresh_at, now)
+            else:
+                self.replace(batch, fresh_at, now)
+        if batch.era != self.position.era:
+            return
+        for change in batch.changes:
+            if change.era < batch.era:
+                # The restored store lacks it.
+                self.apply_change(change, now)
+
     def apply_change(self, change: _contracts.Change, now: float) -> None:
         """Apply one change unless a newer one of the same key is known."""
         current = self.items.get(change.key)
-        if change.value is None:
-            if current is None:
-                # A peer may still have the key and learn of its deletion from
-                # here.
-                self.add_tombstone(change.key, change.position)
-                return
-            if current.position > change.position:
-                return
-            if now < self.hold_deletions_until and self.is_leased(change.key):
-                self.held_deletions[change.key] = change.position
-                return
-            self.delete(change.key, change.position)
-            return
-        if current is not None and current.position >= change.position:
+        if change.value is not None:
+            if self.supersedes_known(change, change.value):
+                self.tombstones.pop(change.key, None)
+                self.held_deletions.pop(change.key, None)
+                self.items[change.key] = StoredValue(
+                    change.value, change.position
+                )
+                self.on_change(change)
             return
-        if self.tombstones.get(change.key, START) > change.position:
+        if current is None:
+            # A peer may still have the key and learn of its deletion from
+            # here.
+            self.add_tombstone(change.key, change.position, None)
+        elif current.position <= change.position:
+            if now < self.hold_deletions_until and self.rules.is_leased(
+                change.key
+            ):
+                self.held_deletions[change.key] = HeldDeletion(
+                    change.position, self.hold_deletions_until
+                )
+            else:
+                self.delete(change.key, change.position)
+
+    def supersedes_known(
+        self, change: _contracts.Change, value: bytes
+    ) -> bool:
+        """Return whether a new value is newer than what is known of its key.
+
+        Positions order the changes of one era.  Between eras, the recency of
+        the values decides if they tell it: a copy may have an older value.
+        """
+        current = self.items.get(change.key)
+        known: StoredValue | Tombstone | None = current or self.tombstones.get(
+            change.key
+        )
+        if known is None:
+            return True
+        if known.position.era != change.era:
+            new_recency = self.rules.recency(change.key, value)
+            known_recency = (
+                known.recency
+                if isinstance(known, Tombstone)
+                else self.rules.recency(change.key, known.value)
+            )
+            if new_recency is not None and known_recency is not None:
+                if new_recency != known_recency:
+                    return new_recency > known_recency
+                if current is None:
+                    return False
+        if current is None:
+            return change.position >= known.position
+        return change.position > known.position
+
+    def apply_missing(
+        self, key: str, position: _contracts.Position, now: float
+    ) -> None:
+        """Apply that a listing lacks a known key.
+
+        If the value is of an era before, it was possibly not deleted but lost.
+        """
+        if self.items[key].position.era == position.era:
+            self.apply_change(
+                _contracts.Change(key, position.revision, None, position.era),
+                now,
+            )
             return
-        self.tombstones.pop(change.key, None)
-        self.held_deletions.pop(change.key, None)
-        self.items[change.key] = StoredValue(change.value, change.position)
-        self.on_change(change)
+        held = self.held_deletions.get(key)
+        if held is None or held.position.era < position.era:
+            self.held_deletions[key] = HeldDeletion(
+                position, now + self.rules.restore_hold_s(key)
+            )
 
     def delete(self, key: str, position: _contracts.Position) -> None:
         """Delete a key and keep a tombstone for it."""
-        del self.items[key]
-        self.add_tombstone(key, position)
+        value = self.items.pop(key).value
+        self.held_deletions.pop(key, None)
+        self.add_tombstone(key, position, self.rules.recency(key, value))
         self.on_change(
             _contracts.Change(key, position.revision, None, position.era)
         )
 
-    def add_tombstone(self, key: str, position: _contracts.Position) -> None:
-        """Remember the position at which a key was deleted."""
-        self.tombstones[key] = max(position, self.tombstones.get(key, START))
+    def add_tombstone(
+        self,
+        key: str,
+        position: _contracts.Position,
+        recency: _contracts.Recency | None,
+    ) -> None:
+        """Remember at which position and recency a key was deleted."""
+        known = self.tombstones.get(key)
+        if known is not None:
+            position = max(position, known.position)
+            recency = recency or known.recency
+        self.tombstones[key] = Tombstone(position, recency)
         self.tombstones.move_to_end(key)
         while len(self.tombstones) > MAX_TOMBSTONES:
             _, oldest = self.tombstones.popitem(last=False)
             self.tombstones_complete_after = max(
-                self.tombstones_complete_after, oldest
+                self.tombstones_complete_after, oldest.position
             )
 
     def apply_held_deletions(self, now: float) -> None:
-        """Apply the held deletions once their hold time has passed."""
-        if not self.held_deletions or now < self.hold_deletions_until:
-            return
-        held, self.held_deletions = self.held_deletions, {}
-        for key, position in held.items():
+        """Apply the held deletions whose hold time has passed."""
+        due = [
+            (key, held.position)
+            for key, held in self.held_deletions.items()
+            if now >= held.until
+        ]
+        for key, position in due:
+            del self.held_deletions[key]
             current = self.items.get(key)
             if current is not None and current.position <= position:
                 self.delete(key, position)
@@ -188,7 +310,12 @@
         ]
         if not partial:
             return changes, False
-        deleted = {**self.tombstones, **self.held_deletions}
+        deleted = {
+            **{key: dead.position for key, dead in self.tombstones.items()},
+            **{
+                key: held.position for key, held in self.held_deletions.items()
+            },
+        }
         changes += [
             _contracts.Change(key, position.revision, None, position.era)
             for key, position in deleted.items()
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -19,6 +19,38 @@
 KEY_FRESHNESS_MARGIN_S: typing.Final = 0.3
 
 
+class KeyRules(_knowledge.KeyRules):
+    """Meaning of the platform's keys and of this program's own."""
+
+    def __init__(self, decoder: _contracts.Decoder) -> None:
+        self.decoder = decoder
+
+    def is_leased(self, key: str) -> bool:
+        """Return whether the store deletes a key when a lease ends."""
+        return self.decoder.parse_key(
+            key
+        ).kind is _contracts.KeyKind.SERVER or key.startswith(
+            _membership.VM_PREFIX
+        )
+
+    def restore_hold_s(self, key: str) -> float:
+        """Return for how long a key that a restored store lacks is kept.
+
+        The share of a rate limit that a VM may still use must not be given to
+        others.
+        """
+        if key.startswith(_membership.FLEET_PREFIX):
+            return _membership.QUOTA_RETENTION_S
+        kind = self.decoder.parse_key(key).kind
+        if kind is _contracts.KeyKind.CONFIGURATION:
+            return float('inf')
+        return _knowledge.DELETION_HOLD_S
+
+    def recency(self, key: str, value: bytes) -> _contracts.Recency | None:
+        """Return the recency of a value, None if it does not tell."""
+        return self.decoder.recency(key, value)
+
+
 class State:
     """Tables of one VM that requests are decided on.
 
@@ -38,7 +70,7 @@
         self.log = log
         self.members = _membership.MemberTable()
         self.replica = _knowledge.StoreReplica(
-            self.apply_change, self.is_leased_key
+            self.apply_change, KeyRules(decoder)
         )
         self.servers = steering.ServerTable(settings.region_by_zone)
         self.placement = steering.Placement(
@@ -82,13 +114,6 @@
         ):
             table.bounds = settings.bounds
 
-    def is_leased_key(self, key: str) -> bool:
-        """Return whether the store deletes a key when its lease ends."""
-        parsed_key = self.decoder.parse_key(key)
-        return parsed_key.kind is _contracts.KeyKind.SERVER or key.startswith(
-            _membership.VM_PREFIX
-        )
-
     def apply_change(self, change: _contracts.Change) -> None:
         """Apply a change of a key to the tables.
 
--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -214,6 +214,11 @@
             era_before=before.era,
             revision=after.revision,
             revision_before=before.revision,
+            missing=len(self.replica.held_deletions),
+            kept=sum(
+                item.position.era < after.era
+                for item in self.replica.items.values()
+            ),
         )
 
     def set_connected(
@@ -340,16 +345,13 @@
                 'relay_unreadable', peer=address, error=type(error).__name__
             )
             return False
-        fresh_at = sent_at - doc['age_s']
-        batch = _contracts.ChangeBatch(changes, doc['revision'], doc['era'])
         before = self.replica.position
-        if fresh_at <= self.replica.fresh_at and batch.era <= before.era:
-            return True
-        now = self.clock.now()
-        if doc['partial']:
-            self.replica.apply(batch, fresh_at, now)
-        else:
-            self.replica.replace(batch, fresh_at, now)
+        self.replica.receive(
+            _contracts.ChangeBatch(changes, doc['revision'], doc['era']),
+            doc['partial'],
+            sent_at - doc['age_s'],
+            self.clock.now(),
+        )
         self.log_new_era(before)
         return True
 
--- a/filbertstep/platform/_documents.py
+++ b/filbertstep/platform/_documents.py
@@ -128,6 +128,25 @@
     born: typing.NotRequired[int]
 
 
+class ServerCountDoc(typing.TypedDict):
+    """The count of what a server wrote since its start."""
+
+    seq_no: int
+
+
+class ServerRecencyDoc(typing.TypedDict):
+    """The part of a server's entry that orders its values."""
+
+    status: ServerCountDoc
+    born: typing.NotRequired[int]
+
+
+class VersionDoc(typing.TypedDict):
+    """The part of the configuration that orders its values."""
+
+    version: str
+
+
 Document = typing.TypeVar('Document')
 
 
@@ -171,6 +190,28 @@
             lambda doc: parse_server(parsed.name, doc)
         )
 
+    def recency(self, key: str, value: bytes) -> entry.Recency | None:
+        """Return the recency of a configuration or of a server's entry."""
+        kind = self.parse_key(key).kind
+        if kind is entry.KeyKind.CONFIGURATION:
+            return (
+                decode_document(value, VersionDoc)
+                .and_then(lambda doc: parse_version(doc['version']))
+                .map(lambda version: entry.Recency(0, version))
+                .ok()
+            )
+        if kind is entry.KeyKind.SERVER:
+            return (
+                decode_document(value, ServerRecencyDoc)
+                .map(
+                    lambda doc: entry.Recency(
+                        doc.get('born', 0), doc['status']['seq_no']
+                    )
+                )
+                .ok()
+            )
+        return None
+
 
 def parse_server(
     server_id: str, doc: ServerDoc
@@ -196,15 +237,23 @@
     )
 
 
+def parse_version(version: str) -> result.Result[int, str]:
+    """Return the number of a configuration's version."""
+    digits = version.removeprefix('r')
+    if not digits.isdigit():
+        return result.Err(
+            'configuration version is not r followed by a number'
+        )
+    return result.Ok(int(digits))
+
+
 def parse_configuration(
     doc: ConfigurationDoc,
 ) -> result.Result[entry.DecodedValue, str]:
     """Convert the configuration; return an error if it is invalid."""
-    version_digits = doc['version'].removeprefix('r')
-    if not version_digits.isdigit():
-        return result.Err(
-            'configuration version is not r followed by a number'
-        )
+    version = parse_version(doc['version'])
+    if isinstance(version, result.Err):
+        return version
     services = {
         cluster['name']: steering.Service(
             name=cluster['name'],
@@ -215,7 +264,7 @@
     }
     return result.Ok(
         steering.Configuration(
-            version=int(version_digits),
+            version=version.ok_value,
             routes=tuple(
                 parse_route(listener['host'], rule)
                 for listener in doc['listeners']
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -35,14 +35,44 @@
     return entry.Position(era, revision)
 
 
+class SampleRules(_knowledge.KeyRules):
+    """Keys under ``s/`` have a lease; ``c`` is never given up.
+
+    Values that are two numbers tell their recency.
+    """
+
+    def is_leased(self, key: str) -> bool:
+        """Return whether a key has a lease."""
+        return key.startswith('s/')
+
+    def restore_hold_s(self, key: str) -> float:
+        """Return for how long a key that a restored store lacks is kept."""
+        return float('inf') if key == 'c' else _knowledge.DELETION_HOLD_S
+
+    def recency(self, key: str, value: bytes) -> entry.Recency | None:
+        """Return the recency of a value such as ``b'1 7'``."""
+        numbers = value.split()
+        if len(numbers) != 2:
+            return None
+        return entry.Recency(int(numbers[0]), int(numbers[1]))
+
+
+class UnleasedRules(SampleRules):
+    """No key has a lease."""
+
+    def is_leased(self, key: str) -> bool:
+        """Return that no key has a lease."""
+        return False
+
+
 class TestStoreReplica(unittest.TestCase):
-    """The replica alone; keys under ``s/`` have a lease."""
+    """The replica alone, with the keys of ``SampleRules``."""
 
     def setUp(self) -> None:
         """Create an empty replica that records its changes."""
         self.changes: list[entry.Change] = []
         self.replica = _knowledge.StoreReplica(
-            self.changes.append, lambda key: key.startswith('s/')
+            self.changes.append, SampleRules()
         )
 
     def apply(self, revision: int, now: float, *changes: entry.Change) -> None:
@@ -120,7 +150,7 @@
         If the zone's reader was restarted in between, its first listing does
         not tell which keys were deleted before.
         """
-        reader = _knowledge.StoreReplica(lambda _: None, lambda _: False)
+        reader = _knowledge.StoreReplica(lambda _: None, UnleasedRules())
         self.apply(5, 0.0, change('a', 4), change('b', 5))
         reader.replace(entry.ChangeBatch((change('a', 4),), 8), 1.0, 1.0)
         changes, partial = reader.changes_since(self.replica.position)
@@ -130,7 +160,7 @@
 
     def test_peer_relays_deletions_of_keys_it_never_had(self) -> None:
         """A VM must not keep a server that came and went between two reads."""
-        relay = _knowledge.StoreReplica(lambda _: None, lambda _: False)
+        relay = _knowledge.StoreReplica(lambda _: None, UnleasedRules())
         relay.apply(entry.ChangeBatch((change('a', 1),), 9), 0.0, 0.0)
         self.apply(10, 0.0, change('a', 1), change('b', 10))
         relay.apply(entry.ChangeBatch((change('b', 11, None),), 11), 1.0, 1.0)
@@ -171,9 +201,7 @@
 
     def setUp(self) -> None:
         """Read a store in its first era; it was never restored before."""
-        self.replica = _knowledge.StoreReplica(
-            lambda _: None, lambda key: key.startswith('s/')
-        )
+        self.replica = _knowledge.StoreReplica(lambda _: None, SampleRules())
         self.list_store(
             1,
             50,
@@ -231,6 +259,9 @@
         self.list_store(2, 30, 1.0, ('a', 28, b'x'))
         self.list_store(1, 60, 2.0, ('a', 55, b'old'))
         self.watch_store(1, 61, 2.0, ('a', 61, b'old'))
+        late = self.batch(1, 62, ('a', 62, b'old'))
+        for partial in (False, True):
+            self.replica.receive(late, partial, 2.0, 2.0)
         self.assertEqual(self.value('a'), b'x')
         self.assertEqual(self.replica.age(2.0), 1.0)
 
@@ -246,6 +277,83 @@
         _, partial = self.replica.changes_since(position(60, 2))
         self.assertTrue(partial)
 
+    def test_older_values_of_the_copy_are_ignored(self) -> None:
+        """A draining server must not come back as ready.
+
+        Nor may a configuration go back, or a server that was removed return.
+        """
+        self.watch_store(1, 51, 0.5, ('s/2', 51, None))
+        self.list_store(
+            2,
+            30,
+            1.0,
+            ('c', 20, b'0 9'),
+            ('s/1', 21, b'1 3'),
+            ('s/2', 22, b'1 4'),
+        )
+        self.assertEqual(self.value('c'), b'0 12')
+        self.assertEqual(self.value('s/1'), b'1 9')
+        self.assertIsNone(self.value('s/2'))
+        self.watch_store(2, 31, 1.1, ('s/1', 31, b'1 10'), ('c', 31, b'0 15'))
+        self.assertEqual(self.value('s/1'), b'1 10')
+        self.assertEqual(self.value('c'), b'0 15')
+
+    def test_restarted_server_is_used_again(self) -> None:
+        """A server that starts again under its id counts from the start."""
+        self.watch_store(1, 51, 0.5, ('s/2', 51, None))
+        self.list_store(2, 30, 1.0, ('s/1', 21, b'2 1'), ('s/2', 22, b'2 1'))
+        self.assertEqual(self.value('s/1'), b'2 1')
+        self.assertEqual(self.value('s/2'), b'2 1')
+
+    def test_what_the_copy_lacks_is_held(self) -> None:
+        """Servers and evacuations must not be gone until written again."""
+        self.list_store(2, 30, 1.0, ('a', 28, b'x'))
+        self.replica.apply_held_deletions(3.1)
+        for key in ('s/1', 's/2', 'op/evacuate/z', 'c'):
+            self.assertIsNotNone(self.value(key), key)
+        self.watch_store(2, 31, 3.1, ('s/1', 31, b'1 10'))
+        self.replica.apply_held_deletions(3.3)
+        self.assertEqual(self.value('s/1'), b'1 10')
+        self.assertIsNone(self.value('s/2'))
+        self.assertIsNone(self.value('op/evacuate/z'))
+        self.assertEqual(self.value('c'), b'0 12')
+
+    def test_deletion_in_the_new_era_of_a_kept_value(self) -> None:
+        """A server that leaves after the restore must not stay."""
+        self.list_store(2, 30, 1.0, ('s/1', 21, b'1 3'))
+        self.watch_store(2, 31, 4.0, ('s/1', 31, None))
+        self.replica.apply_held_deletions(7.0)
+        self.assertIsNone(self.value('s/1'))
+
+    def test_two_restores_in_a_row(self) -> None:
+        """What was kept over one restore must outlast the next one."""
+        self.list_store(2, 30, 1.0, ('c', 20, b'0 9'), ('s/1', 21, b'1 3'))
+        self.list_store(3, 25, 2.0, ('c', 20, b'0 9'))
+        self.replica.apply_held_deletions(4.1)
+        self.assertEqual(self.value('c'), b'0 12')
+        self.assertEqual(self.value('s/1'), b'1 9')
+        self.replica.apply_held_deletions(4.3)
+        self.assertIsNone(self.value('s/1'))
+
+    def started_vm(self) -> _knowledge.StoreReplica:
+        """Return a replica that has read the restored store only."""
+        started = _knowledge.StoreReplica(lambda _: None, SampleRules())
+        started.replace(
+            self.batch(2, 32, ('c', 20, b'0 9'), ('era', 10, b'1')), 1.5, 1.5
+        )
+        return started
+
+    def test_started_vm_learns_from_a_peer_what_the_copy_lacks(self) -> None:
+        """A VM that starts must know the configuration of its peers."""
+        self.list_store(2, 30, 1.0, ('c', 20, b'0 9'), ('era', 10, b'1'))
+        changes, partial = self.replica.changes_since(_knowledge.START)
+        self.assertFalse(partial)
+        started = self.started_vm()
+        relayed = entry.ChangeBatch(tuple(changes), 30, 2)
+        started.receive(relayed, partial, 1.0, 2.0)
+        self.assertEqual(started.items['c'].value, b'0 12')
+        self.assertEqual(started.position, position(32, 2))
+
 
 def make_log(time_source: clock.Clock) -> _log.DecisionLog:
     """Return a log whose lines stay in ``handler.pending``."""
@@ -376,7 +484,7 @@
         members = _membership.MemberTable()
         replica = _knowledge.StoreReplica(
             lambda found: members.apply_change(found, self.clock.now()),
-            lambda key: False,
+            UnleasedRules(),
         )
         registration = _membership.Registration(
             client,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -178,6 +178,20 @@
         decoded = decoder.decode('servers/i-1', b'\xff\x00\xfe')
         self.assertIsInstance(decoded, result.Err)
 
+    def test_the_recency_of_values_is_decoded(self) -> None:
+        """Guards against an older entry that replaces a newer one."""
+        decoder = _documents.PlatformDecoder()
+        for key, value, expected in (
+            ('servers/i-1', SERVER, entry.Recency(1700000000123, 4)),
+            ('op/config', CONFIGURATION, entry.Recency(0, 7)),
+            ('op/evacuate/z', {}, None),
+            ('servers/i-1', {**SERVER, 'status': {}}, None),
+            ('op/config', {**CONFIGURATION, 'version': 'seven'}, None),
+        ):
+            with self.subTest(key=key, expected=expected):
+                found = decoder.recency(key, json.dumps(value).encode())
+                self.assertEqual(found, expected)
+
     def test_keys_are_classified(self) -> None:
         """Guards against decoding the project's own keys as the platform's."""
         kinds = entry.KeyKind
