Do not take a restored store's copy for the newest configuration

A read of a restored store confirmed the configuration in it, although the store may lack a later one that it had acknowledged.

Cause: the age of the replica stood for the age of the operator's documents, which holds only while the store loses nothing. They now have an age of their own, which decides on keys, 401, 404 and readiness. Reads in a new era confirm them once the operator has written the configuration again, at least in the version that this VM knows, or 2.2 s after the VM saw the era. A VM that starts can't tell a restored store from another one, so it waits too, unless a peer confirms the documents or the key `era` records that the era is settled: the first VM by name writes it, once an era.

Evidence: without the wait, these tests fail: test_configuration_of_the_copy_does_not_confirm, test_older_configuration_does_not_confirm, test_started_vm_does_not_trust_the_copy, test_the_copy_does_not_confirm_the_configuration and others of TestRestoredReplica.

--- a/filbertstep/entry/_knowledge.py
+++ b/filbertstep/entry/_knowledge.py
@@ -30,6 +30,9 @@
 # store's return.
 DELETION_HOLD_S: typing.Final = 2.2
 
+# After this time in a new era, the operator has written its documents again.
+RESTORE_SETTLE_S: typing.Final = 2.2
+
 START: typing.Final = _contracts.Position(0, 0)
 
 
@@ -69,6 +72,17 @@
     def recency(self, key: str, value: bytes) -> _contracts.Recency | None:
         """Return the recency of a value, None if it does not tell."""
 
+    @abc.abstractmethod
+    def is_configuration(self, key: str) -> bool:
+        """Return whether a key has the operator's configuration."""
+
+    @abc.abstractmethod
+    def settled_era(self, key: str, value: bytes) -> int | None:
+        """Return the era that a value records as settled, if it does.
+
+        In a settled era, the operator has written its documents again.
+        """
+
 
 OnChange = collections.abc.Callable[[_contracts.Change], None]
 
@@ -96,11 +110,33 @@
         self.fresh_at = float('-inf')
         self.held_deletions: dict[str, HeldDeletion] = {}
         self.hold_deletions_until = float('-inf')
+        # Reads from this time on confirm the operator's documents.
+        self.settles_at = float('-inf')
+        # Until then, the latest time at which they were known to be current.
+        self.documents_confirmed_at = float('-inf')
 
     def age(self, now: float) -> float:
         """Return the seconds since the replica was known to be current."""
         return now - self.fresh_at
 
+    def documents_fresh_at(self) -> float:
+        """Return when the operator's documents were known to be current.
+
+        A restored store lacks documents that it had acknowledged, until the
+        operator writes them again.
+        """
+        return (
+            self.fresh_at if self.is_settled() else self.documents_confirmed_at
+        )
+
+    def documents_age(self, now: float) -> float:
+        """Return the age of the operator's documents in seconds."""
+        return now - self.documents_fresh_at()
+
+    def is_settled(self) -> bool:
+        """Return whether reads confirm the operator's documents."""
+        return self.fresh_at >= self.settles_at
+
     def confirm_fresh(self, fresh_at: float, now: float) -> None:
         """Record that the replica was current at ``fresh_at``.
 
@@ -121,6 +157,15 @@
         self.confirm_fresh(fresh_at, now)
         for change in batch.changes:
             self.apply_change(change, now)
+            current = self.items.get(change.key)
+            if (
+                current is not None
+                and current.position == change.position
+                and self.rules.is_configuration(change.key)
+            ):
+                # Written in this era, so the operator has written again.
+                self.settles_at = min(self.settles_at, fresh_at)
+        self.apply_settled_era(batch, fresh_at)
         self.position = batch.position
 
     def replace(
@@ -136,12 +181,10 @@
         if batch.position < self.position:
             return
         if batch.era > self.position.era:
-            # The first listing of an era does not tell which keys were deleted
-            # before it.
-            self.tombstones_complete_after = batch.position
-            if self.fresh_at != float('-inf'):
-                self.hold_deletions_until = now + DELETION_HOLD_S
+            self.start_era(batch, fresh_at, now)
         elif self.fresh_at == float('-inf'):
+            # The first listing does not tell which keys were deleted before
+            # it.
             self.tombstones_complete_after = batch.position
         self.confirm_fresh(fresh_at, now)
         present = {change.key for change in batch.changes}
@@ -149,16 +192,54 @@
             self.apply_change(change, now)
         for key in [key for key in self.items if key not in present]:
             self.apply_missing(key, batch.position, now)
+        self.apply_settled_era(batch, fresh_at)
         self.position = batch.position
 
+    def start_era(
+        self, batch: _contracts.ChangeBatch, fresh_at: float, now: float
+    ) -> None:
+        """Prepare for the first listing of a new era."""
+        self.documents_confirmed_at = self.documents_fresh_at()
+        self.settles_at = now + RESTORE_SETTLE_S
+        self.tombstones_complete_after = batch.position
+        if self.fresh_at != float('-inf'):
+            self.hold_deletions_until = now + DELETION_HOLD_S
+        for change in batch.changes:
+            known = self.items.get(change.key)
+            if (
+                known is not None
+                and known.position.era == self.position.era
+                and known.position.revision != change.revision
+                and known.value == change.value
+                and self.rules.is_configuration(change.key)
+            ):
+                # The copy would have it at the known revision.
+                self.settles_at = fresh_at
+
+    def apply_settled_era(
+        self, batch: _contracts.ChangeBatch, fresh_at: float
+    ) -> None:
+        """Stop waiting if a VM recorded that the batch's era is settled."""
+        if any(
+            change.value is not None
+            and self.rules.settled_era(change.key, change.value) == batch.era
+            for change in batch.changes
+        ):
+            self.settles_at = min(self.settles_at, fresh_at)
+
     def receive(
         self,
         batch: _contracts.ChangeBatch,
         partial: bool,
         fresh_at: float,
+        documents_fresh_at: float,
         now: float,
     ) -> None:
-        """Apply what a peer knows: changes, or its full content."""
+        """Apply what a peer knows: changes, or its full content.
+
+        ``documents_fresh_at`` is when the peer's documents of the operator
+        were known to be current.
+        """
         if batch.era < self.position.era:
             return
         if fresh_at > self.fresh_at or batch.era > self.position.era:
@@ -172,6 +253,9 @@
             if change.era < batch.era:
                 # The restored store lacks it.
                 self.apply_change(change, now)
+        self.documents_confirmed_at = max(
+            self.documents_confirmed_at, documents_fresh_at
+        )
 
     def apply_change(self, change: _contracts.Change, now: float) -> None:
         """Apply one change unless a newer one of the same key is known."""
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -459,7 +459,7 @@
             outcome = 'server_failed'
         self.counters.requests.labels(service, account, outcome).inc()
         self.counters.latency.labels(service).observe(took_s)
-        age = self.state.replica.age(self.clock.now())
+        age = self.state.replica.documents_age(self.clock.now())
         configuration = self.state.configuration
         self.state.log.write(
             'answer' if outcome == 'ok' else 'failure',
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -12,6 +12,7 @@
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
 from filbertstep.entry import _strikes
+from filbertstep.entry import _sync
 
 # Subtracted from the bound on the use of withdrawn API keys, to allow for
 # clocks that differ in speed and for the time from the check until the request
@@ -41,8 +42,7 @@
         """
         if key.startswith(_membership.FLEET_PREFIX):
             return _membership.QUOTA_RETENTION_S
-        kind = self.decoder.parse_key(key).kind
-        if kind is _contracts.KeyKind.CONFIGURATION:
+        if self.is_configuration(key):
             return float('inf')
         return _knowledge.DELETION_HOLD_S
 
@@ -50,6 +50,17 @@
         """Return the recency of a value, None if it does not tell."""
         return self.decoder.recency(key, value)
 
+    def is_configuration(self, key: str) -> bool:
+        """Return whether a key has the operator's configuration."""
+        kind = self.decoder.parse_key(key).kind
+        return kind is _contracts.KeyKind.CONFIGURATION
+
+    def settled_era(self, key: str, value: bytes) -> int | None:
+        """Return the era that a value records as settled, if it does."""
+        if key != _sync.ERA_KEY or not value.isdigit():
+            return None
+        return int(value)
+
 
 class State:
     """Tables of one VM that requests are decided on.
@@ -240,7 +251,7 @@
         The bound limits for how long a withdrawn key is accepted.
         """
         bound = self.settings.bounds.key_withdrawal_s - KEY_FRESHNESS_MARGIN_S
-        return self.replica.age(now) < bound
+        return self.replica.documents_age(now) < bound
 
     def can_confirm_missing(self, now: float) -> bool:
         """Return whether an unknown route or API key certainly does not exist.
@@ -248,7 +259,8 @@
         If the replica is older than the bound on applying a configuration, the
         route or key may have been added since.
         """
-        return self.replica.age(now) < self.settings.bounds.config_apply_s
+        bound = self.settings.bounds.config_apply_s
+        return self.replica.documents_age(now) < bound
 
     def is_ready(self, now: float) -> bool:
         """Return whether this VM can serve callers' requests."""
--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -56,6 +56,14 @@
 # How long a VM reads the store itself after the reader of its zone failed.
 DIRECT_READ_S: typing.Final = 3.0
 
+# A VM that starts after the store was restored asks this many peers at once
+# for what the store lacks.
+MAX_CONFIRMING_PEERS: typing.Final = 3
+
+# Names the latest era of the store that is settled: VMs that start later need
+# not wait.
+ERA_KEY: typing.Final = 'era'
+
 KNOWLEDGE_PATH: typing.Final = '/knowledge'
 
 
@@ -71,11 +79,13 @@
 class KnowledgeDoc(typing.TypedDict):
     """Answer of a relaying peer; ``age_s`` is the age of its replica.
 
-    If ``partial``, the changes are those after the
+    ``documents_age_s`` is the age of the operator's documents in it, null if
+    they were never confirmed.  If ``partial``, the changes are those after the
     requested position, else the full content.
     """
 
     age_s: float
+    documents_age_s: float | None
     era: int
     revision: int
     partial: bool
@@ -200,8 +210,25 @@
         if isinstance(watched, result.Err):
             return watched.err_value
         self.replica.apply(watched.ok_value, sent_at, self.clock.now())
+        await self.record_settled_era()
         return None
 
+    async def record_settled_era(self) -> None:
+        """Write the era once it is settled; the first live VM does so.
+
+        A failed write is repeated after the next read.
+        """
+        era = self.replica.position.era
+        recorded = self.replica.items.get(ERA_KEY)
+        value = str(era).encode()
+        if (
+            (recorded and recorded.value == value)
+            or not self.replica.is_settled()
+            or min(self.members.live, default='') != self.registration.own.vm
+        ):
+            return
+        await self.store.write({ERA_KEY: value})
+
     def log_new_era(self, before: _contracts.Position) -> None:
         """Log if the store was restored since the position ``before``."""
         after = self.replica.position
@@ -219,6 +246,9 @@
                 item.position.era < after.era
                 for item in self.replica.items.values()
             ),
+            documents_age_s=rounded(
+                self.replica.documents_age(self.clock.now())
+            ),
         )
 
     def set_connected(
@@ -246,6 +276,8 @@
             now = self.clock.now()
             if self.replica.age(now) > RELAY_AT_AGE_S:
                 await self.fetch_from_any_peer()
+            elif self.replica.documents_age(now) == float('inf'):
+                await self.confirm_documents()
             elif self.relay_peer and (self.connected or self.followed_peer):
                 self.log.write('relay_ended', peer=self.relay_peer)
                 self.relay_peer = ''
@@ -296,6 +328,13 @@
                 return
         self.relay_peer = ''
 
+    async def confirm_documents(self) -> None:
+        """Ask a few peers whether a restored store lacks documents."""
+        for address in self.relay_candidates()[:MAX_CONFIRMING_PEERS]:
+            await self.fetch_from_peer(address)
+            if self.replica.documents_age(self.clock.now()) < float('inf'):
+                return
+
     async def fetch_from_peer(
         self, address: str, lease: _contracts.Lease | None = None
     ) -> bool:
@@ -306,6 +345,9 @@
         """
         sent_at = self.clock.now()
         position = self.replica.position
+        if self.replica.documents_age(sent_at) == float('inf'):
+            # Peers may know more than a restored store that was read.
+            position = _knowledge.START
         params = {'era': str(position.era), 'after': str(position.revision)}
         if lease is not None:
             params['lease_era'] = str(lease.era)
@@ -346,10 +388,14 @@
             )
             return False
         before = self.replica.position
+        documents_age_s = doc['documents_age_s']
         self.replica.receive(
             _contracts.ChangeBatch(changes, doc['revision'], doc['era']),
             doc['partial'],
             sent_at - doc['age_s'],
+            float('-inf')
+            if documents_age_s is None
+            else sent_at - documents_age_s,
             self.clock.now(),
         )
         self.log_new_era(before)
@@ -361,9 +407,13 @@
         age = self.replica.age(now)
         if age > MAX_RELAYED_AGE_S:
             return None
+        documents_age_s = self.replica.documents_age(now)
         changes, partial = self.replica.changes_since(after)
         return {
             'age_s': age,
+            'documents_age_s': None
+            if documents_age_s == float('inf')
+            else documents_age_s,
             'era': self.replica.position.era,
             'revision': self.replica.position.revision,
             'partial': partial,
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -36,7 +36,7 @@
 
 
 class SampleRules(_knowledge.KeyRules):
-    """Keys under ``s/`` have a lease; ``c`` is never given up.
+    """Keys under ``s/`` have a lease; ``c`` is the configuration.
 
     Values that are two numbers tell their recency.
     """
@@ -56,6 +56,14 @@
             return None
         return entry.Recency(int(numbers[0]), int(numbers[1]))
 
+    def is_configuration(self, key: str) -> bool:
+        """Return whether a key has the configuration."""
+        return key == 'c'
+
+    def settled_era(self, key: str, value: bytes) -> int | None:
+        """Return the era that the key ``era`` records as settled."""
+        return int(value) if key == _sync.ERA_KEY else None
+
 
 class UnleasedRules(SampleRules):
     """No key has a lease."""
@@ -261,7 +269,7 @@
         self.watch_store(1, 61, 2.0, ('a', 61, b'old'))
         late = self.batch(1, 62, ('a', 62, b'old'))
         for partial in (False, True):
-            self.replica.receive(late, partial, 2.0, 2.0)
+            self.replica.receive(late, partial, 2.0, 2.0, 2.0)
         self.assertEqual(self.value('a'), b'x')
         self.assertEqual(self.replica.age(2.0), 1.0)
 
@@ -334,6 +342,41 @@
         self.assertEqual(self.value('s/1'), b'1 9')
         self.replica.apply_held_deletions(4.3)
         self.assertIsNone(self.value('s/1'))
+        self.assertEqual(self.replica.documents_age(2.0), 2.0)
+
+    def test_the_copy_does_not_confirm_the_configuration(self) -> None:
+        """A key whose withdrawal the store lost must not be accepted on.
+
+        The copy may lack a configuration that this VM had not read yet.
+        """
+        self.list_store(2, 30, 4.0, ('c', 20, b'0 9'))
+        self.watch_store(2, 30, 5.0)
+        self.assertEqual(self.replica.age(5.0), 0.0)
+        self.assertEqual(self.replica.documents_age(5.0), 5.0)
+        self.watch_store(2, 30, 6.3)
+        self.assertEqual(self.replica.documents_age(6.3), 0.0)
+
+    def test_rewritten_configuration_confirms_at_once(self) -> None:
+        """VMs must not refuse requests for longer than they have to."""
+        self.list_store(2, 30, 4.0, ('c', 20, b'0 9'))
+        self.watch_store(2, 31, 4.2, ('c', 31, b'0 12'))
+        self.assertEqual(self.replica.documents_age(4.2), 0.0)
+
+    def test_older_configuration_does_not_confirm(self) -> None:
+        """The operator may write its versions again one after the other."""
+        self.list_store(2, 30, 4.0, ('c', 20, b'0 9'))
+        self.watch_store(2, 31, 4.2, ('c', 31, b'0 10'))
+        self.assertEqual(self.replica.documents_age(4.2), 4.2)
+
+    def test_configuration_that_a_listing_shows_as_rewritten(self) -> None:
+        """The operator may write again before a VM lists the store."""
+        self.list_store(2, 35, 4.0, ('c', 33, b'0 12'))
+        self.assertEqual(self.replica.documents_age(4.0), 0.0)
+
+    def test_configuration_of_the_copy_does_not_confirm(self) -> None:
+        """A later version than the one in the copy may have been lost."""
+        self.list_store(2, 45, 4.0, ('c', 40, b'0 12'))
+        self.assertEqual(self.replica.documents_age(4.0), 4.0)
 
     def started_vm(self) -> _knowledge.StoreReplica:
         """Return a replica that has read the restored store only."""
@@ -343,6 +386,24 @@
         )
         return started
 
+    def test_started_vm_does_not_trust_the_copy(self) -> None:
+        """A VM without memory must not accept keys that were withdrawn.
+
+        Nothing but the era's number tells it that the store was restored.
+        """
+        started = self.started_vm()
+        self.assertEqual(started.documents_age(1.5), float('inf'))
+        started.apply(entry.ChangeBatch((), 32, 2), 3.8, 3.8)
+        self.assertEqual(started.documents_age(3.8), 0.0)
+
+    def test_started_vm_trusts_a_settled_era(self) -> None:
+        """VMs must not wait at each start once the store was restored."""
+        started = _knowledge.StoreReplica(lambda _: None, SampleRules())
+        started.replace(
+            self.batch(2, 32, ('c', 20, b'0 9'), ('era', 31, b'2')), 1.5, 1.5
+        )
+        self.assertEqual(started.documents_age(1.5), 0.0)
+
     def test_started_vm_learns_from_a_peer_what_the_copy_lacks(self) -> None:
         """A VM that starts must know the configuration of its peers."""
         self.list_store(2, 30, 1.0, ('c', 20, b'0 9'), ('era', 10, b'1'))
@@ -350,8 +411,9 @@
         self.assertFalse(partial)
         started = self.started_vm()
         relayed = entry.ChangeBatch(tuple(changes), 30, 2)
-        started.receive(relayed, partial, 1.0, 2.0)
+        started.receive(relayed, partial, 1.0, 0.0, 2.0)
         self.assertEqual(started.items['c'].value, b'0 12')
+        self.assertEqual(started.documents_age(2.0), 2.0)
         self.assertEqual(started.position, position(32, 2))
 
 
@@ -701,6 +763,32 @@
         self.assertTrue(await registration.register())
         self.assertLessEqual({'vms/v2', 'fleet/v2'}, set(self.store.items))
 
+    async def test_first_vm_records_a_settled_era(self) -> None:
+        """VMs that start later must not wait for what the copy may lack."""
+        self.store.put('op/config', b'1')
+        self.add_zone_members(self.peer, 'v2', 'v3')
+        self.start_task(self.peer.run_store())
+        await self.wait_until(lambda: _sync.ERA_KEY in self.store.items)
+        self.assertTrue(self.peer.replica.is_settled())
+        started = self.vm('v1', self.store.address)
+        self.assertIsNone(await started.read_store())
+        self.assertLess(started.replica.documents_age(self.clock.now()), 1.0)
+
+    async def test_started_vm_asks_peers_about_a_restored_store(self) -> None:
+        """A VM that starts must not be unready if a peer knows better."""
+        now = self.clock.now()
+        self.peer.replica.replace(entry.ChangeBatch((), 5, 1), now, now)
+        self.peer.replica.settles_at = now
+        started = self.vm('v1', self.store.address, self.peer_address)
+        self.assertIsNone(await started.read_store())
+        self.assertEqual(
+            started.replica.documents_age(self.clock.now()), float('inf')
+        )
+        self.start_task(started.run_relay())
+        await self.wait_until(
+            lambda: started.replica.documents_age(self.clock.now()) < 1.0
+        )
+
     async def test_failed_registration_is_logged(self) -> None:
         """The log must explain why look-ups do not name a VM."""
         written: list[str] = []
