Write strikes again after the loss of a lease

A VM that lost its lease, for example in a restored store, lost the key with its strikes, and wrote it again only after another strike. VMs that started later did not know these strikes, so a request that crashes servers could reach more of them.

Evidence: without the change, test_strikes_are_written_again_under_a_new_lease finds one write where two are due. Found by reading.

--- a/filbertstep/entry/_strikes.py
+++ b/filbertstep/entry/_strikes.py
@@ -147,25 +147,35 @@
         self.store = store
         self.registration = registration
         self.log = log
+        # Lease of the key that was written last.
+        self.lease: _contracts.Lease | None = None
 
     async def run(self) -> None:
         """Write new strikes and drop expired ones, in an endless loop."""
         while True:
             await asyncio.sleep(MIN_WRITE_INTERVAL_S)
             self.strikes.quarantine.tick(self.strikes.clock.now())
-            if self.strikes.unwritten and self.registration.lease:
-                await self.write()
+            await self.write_changes()
 
-    async def write(self) -> None:
+    async def write_changes(self) -> None:
+        """Write the own strikes if the store lacks some of them."""
+        lease = self.registration.lease
+        # The key was deleted with the lease before.
+        lost = self.lease is not None and lease != self.lease
+        if lease is not None and (self.strikes.unwritten or lost):
+            await self.write(lease)
+
+    async def write(self, lease: _contracts.Lease) -> None:
         """Write all own strikes; after a failure, the next round retries."""
         self.strikes.unwritten = False
+        self.lease = lease
         written = await self.store.write(
             {
                 STRIKES_PREFIX + self.strikes.vm: msgspec.json.encode(
                     self.strikes.own_strikes()
                 )
             },
-            lease=self.registration.lease,
+            lease=lease,
         )
         if isinstance(written, result.Err):
             self.strikes.unwritten = True
