Do not name VMs from the copy of a restored store in look-ups

A VM that ended after the copy was made is in the restored store again until its lease runs out, up to 3 s later, and look-ups named it: their callers met closed ports (DRAIN of the directory).

The key of a VM now tells the era in which it registered. All VMs register anew in a new era, so a key of an older one adds no VM; one that was live before stays so until then.

Evidence: test_copy_does_not_bring_vms_back fails without the change.

--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -33,12 +33,16 @@
 
 
 class MemberDoc(typing.TypedDict):
-    """Value of ``vms/NAME``; ``callers`` and ``peers`` are addresses."""
+    """Value of ``vms/NAME``; ``callers`` and ``peers`` are addresses.
+
+    ``era`` is the era of the store in which the VM registered.
+    """
 
     availability_zone: str
     region: str
     callers: str
     peers: str
+    era: int
 
 
 class MemberTable:
@@ -57,11 +61,19 @@
         """Apply a change of one of the two keys of a VM."""
         if change.key.startswith(VM_PREFIX):
             name = change.key[len(VM_PREFIX) :]
-            member = decode_member(name, change.value)
-            if member is None:
+            doc = decode_member(change.value)
+            if doc is None:
                 self.live.pop(name, None)
-            else:
-                self.live[name] = member
+            elif doc['era'] >= change.era or name in self.live:
+                # Otherwise a restored store shows a VM that is gone, or that
+                # registers anew.
+                self.live[name] = steering.Member(
+                    vm=name,
+                    availability_zone=doc['availability_zone'],
+                    region=doc['region'],
+                    callers=doc['callers'],
+                    peers=doc['peers'],
+                )
             if name in self.fleet:
                 self.fleet[name] = (self.fleet[name][0], now)
         elif change.key.startswith(FLEET_PREFIX):
@@ -86,15 +98,14 @@
         ]
 
 
-def decode_member(name: str, value: bytes | None) -> steering.Member | None:
+def decode_member(value: bytes | None) -> MemberDoc | None:
     """Decode the value of a VM's key; None if deleted or unreadable."""
     if value is None:
         return None
     try:
-        doc = msgspec.json.decode(value, type=MemberDoc)
+        return msgspec.json.decode(value, type=MemberDoc)
     except msgspec.DecodeError:
         return None
-    return steering.Member(vm=name, **doc)
 
 
 class Registration:
@@ -149,6 +160,7 @@
             'region': self.own.region,
             'callers': self.own.callers,
             'peers': self.own.peers,
+            'era': lease.era,
         }
         key = VM_PREFIX + self.own.vm
         if self.fleet_era != lease.era:
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -835,3 +835,33 @@
         table = _membership.MemberTable()
         table.apply_change(change('vms/a', 1, b'{"x":1}'), 0.0)
         self.assertEqual(table.live, {})
+
+    def test_copy_does_not_bring_vms_back(self) -> None:
+        """Look-ups must not name VMs that ended before a restore.
+
+        VMs that run register anew, and those that were live stay so until
+        then.
+        """
+        table = _membership.MemberTable()
+
+        def put(name: str, written_in: int, seen_in: int) -> None:
+            doc: _membership.MemberDoc = {
+                'availability_zone': 'z',
+                'region': 'a',
+                'callers': f'{name}:1',
+                'peers': f'{name}:2',
+                'era': written_in,
+            }
+            table.apply_change(
+                entry.Change(
+                    f'vms/{name}', 5, json.dumps(doc).encode(), seen_in
+                ),
+                0.0,
+            )
+
+        put('a', 1, 1)
+        put('a', 1, 2)
+        put('b', 1, 2)
+        self.assertEqual(set(table.live), {'a'})
+        put('b', 2, 2)
+        self.assertEqual(set(table.live), {'a', 'b'})
