Restore the store from older copies in the fleet soak

The fake store can go back to a copy with a risen era; the operator and the servers write again up to 1.5 s later. Servers of the soak count what they write, as those of the platform do: the recency of their entries decides after a restore.

--- a/tests/fleet_soak/_faults.py
+++ b/tests/fleet_soak/_faults.py
@@ -31,6 +31,10 @@
 
 POISON_INTERVAL_S: typing.Final = 0.3
 
+# Choices for the time until the writers write again after a restore of the
+# store, which they do within about 2 s.
+REWRITE_DELAYS_S: typing.Final = (0.0, 0.3, 1.5)
+
 # States of a faulty link: silent in one or both directions, resetting
 # connections, or delaying data.
 LINK_FAULTS: typing.Final[tuple[dict[str, object], ...]] = (
@@ -194,6 +198,22 @@
     world.store.drop_history()
 
 
+async def restore_store(world: _world.World, rng: random.Random) -> None:
+    """Restore the store from a copy some seconds old.
+
+    The operator and the servers soon write again what the copy lacks.
+    """
+    store = world.store
+    older = store.make_copy()
+    await asyncio.sleep(choose_duration(rng))
+    store.status = 503
+    await asyncio.sleep(rng.choice((0.1, 1.2, 2.5)))
+    store.restore(older)
+    store.status = 0
+    await asyncio.sleep(rng.choice(REWRITE_DELAYS_S))
+    store.write_lost()
+
+
 async def cut_store_links(world: _world.World, rng: random.Random) -> None:
     """Break the links of up to half of the VMs to the store."""
     links = [f'store-{vm.name}' for vm in world.vms]
@@ -290,6 +310,7 @@
         pause_vm,
         fail_store,
         invalidate_store_watches,
+        restore_store,
         cut_store_links,
         cut_server_links,
         crash_servers,
--- a/tests/fleet_soak/_world.py
+++ b/tests/fleet_soak/_world.py
@@ -99,6 +99,7 @@
         self.draining = False
         self.alive = True
         self.started_ms = int(time.time() * 1000)
+        self.entry_count = 0
         self.http = web.Server(
             self.handle, handler_cancellation=True, access_log=None
         )
@@ -122,6 +123,7 @@
 
     def register(self) -> None:
         """Write the entry of this server to the store."""
+        self.entry_count += 1
         document = {
             'address': self.address,
             'born': self.started_ms,
@@ -133,7 +135,7 @@
             },
             'status': {
                 'state': 'draining' if self.draining else 'ready',
-                'seq_no': 1,
+                'seq_no': self.entry_count,
                 'cold_left_ms': 0,
             },
         }
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -11,6 +11,9 @@
 # Maximum number of items in a page.
 PAGE_ITEMS: typing.Final = 5
 
+# Prefixes of the keys of other writers than the entry program.
+WRITER_PREFIXES: typing.Final = ('op/', 'servers/')
+
 # Time between checks for expired leases.
 LEASE_CHECK_INTERVAL_S: typing.Final = 0.1
 
@@ -39,6 +42,9 @@
         self.events: list[dict[str, typing.Any]] = []
         self.revision = 1
         self.era = 1
+        # What other writers have to write again after a restore: values by
+        # key, None for deletions.
+        self.lost: dict[str, bytes | None] = {}
         self.dropped_until = 0
         self.leases: dict[int, list[str]] = {}
         # Lifetimes of leases, and the times at which they expire.
@@ -120,6 +126,16 @@
         given out again.  Watches that wait are cut with 410.
         """
         restored = copy.deepcopy(older)
+        for key in self.items.keys() | restored.items.keys():
+            item = self.items.get(key)
+            if (
+                key.startswith(WRITER_PREFIXES)
+                and key not in self.lost
+                and (item != restored.items.get(key))
+            ):
+                self.lost[key] = (
+                    base64.b64decode(item['value']) if item else None
+                )
         self.items = restored.items
         self.events = restored.events
         self.revision = restored.revision
@@ -129,8 +145,17 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def write_lost(self) -> None:
+        """Write again what other writers lost by a restore."""
+        for key, value in list(self.lost.items()):
+            if value is None:
+                self.delete(key)
+            else:
+                self.put(key, value)
+
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key and return the new revision."""
+        self.lost.pop(key, None)
         self.revision += 1
         previous = self.items.get(key)
         item = {
@@ -148,6 +173,7 @@
 
     def delete(self, key: str) -> int:
         """Delete a key and return the revision."""
+        self.lost.pop(key, None)
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self.append_event(
