--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -33,12 +33,16 @@
 
 
 class MemberDoc(typing.TypedDict):
-    """Value of ``vms/NAME``; ``callers`` and ``peers`` are addresses."""
+    """Value of ``vms/NAME``; ``callers`` and ``peers`` are addresses.
+
+    ``era`` is the era of the store in which the VM registered.
+    """
 
     availability_zone: str
     region: str
     callers: str
     peers: str
+    era: int
 
 
 class MemberTable:
@@ -49,19 +53,27 @@
 
     def __init__(self) -> None:
         self.live: dict[str, steering.Member] = {}
-        # Revision of the ``fleet/`` key by VM name, and when the VM was last
+        # Position of the ``fleet/`` key by VM name, and when the VM was last
         # seen with a lease.
-        self.fleet: dict[str, tuple[int, float]] = {}
+        self.fleet: dict[str, tuple[_contracts.Position, float]] = {}
 
     def apply_change(self, change: _contracts.Change, now: float) -> None:
         """Apply a change of one of the two keys of a VM."""
         if change.key.startswith(VM_PREFIX):
             name = change.key[len(VM_PREFIX) :]
-            member = decode_member(name, change.value)
-            if member is None:
+            doc = decode_member(change.value)
+            if doc is None:
                 self.live.pop(name, None)
-            else:
-                self.live[name] = member
+            elif doc['era'] >= change.era or name in self.live:
+                # Otherwise a restored store shows a VM that is gone, or that
+                # registers anew.
+                self.live[name] = steering.Member(
+                    vm=name,
+                    availability_zone=doc['availability_zone'],
+                    region=doc['region'],
+                    callers=doc['callers'],
+                    peers=doc['peers'],
+                )
             if name in self.fleet:
                 self.fleet[name] = (self.fleet[name][0], now)
         elif change.key.startswith(FLEET_PREFIX):
@@ -69,37 +81,38 @@
             if change.value is None:
                 self.fleet.pop(name, None)
             else:
-                self.fleet[name] = (change.revision, now)
+                self.fleet[name] = (change.position, now)
 
     def vms_with_quota(self, own: str) -> frozenset[str]:
         """Return the VMs that may use quotas, this one (``own``) included."""
         return frozenset(self.fleet.keys() | self.live.keys() | {own})
 
-    def departed_vms(self, now: float) -> list[tuple[str, int]]:
-        """Return VMs that no longer have quotas, and their keys' revisions."""
+    def departed_vms(
+        self, now: float
+    ) -> list[tuple[str, _contracts.Position]]:
+        """Return VMs that no longer have quotas, and their keys' positions."""
         return [
-            (name, revision)
-            for name, (revision, seen) in self.fleet.items()
+            (name, position)
+            for name, (position, seen) in self.fleet.items()
             if name not in self.live and now - seen > QUOTA_RETENTION_S
         ]
 
 
-def decode_member(name: str, value: bytes | None) -> steering.Member | None:
+def decode_member(value: bytes | None) -> MemberDoc | None:
     """Decode the value of a VM's key; None if deleted or unreadable."""
     if value is None:
         return None
     try:
-        doc = msgspec.json.decode(value, type=MemberDoc)
+        return msgspec.json.decode(value, type=MemberDoc)
     except msgspec.DecodeError:
         return None
-    return steering.Member(vm=name, **doc)
 
 
 class Registration:
     """Keeps this VM's keys in the store while it serves.
 
-    ``lease`` is 0 while there is none.  A lease that a peer renews on behalf
-    of this VM counts as renewed (see ``_sync``).
+    ``lease`` is None while there is none.  A lease that a peer renews on
+    behalf of this VM counts as renewed (see ``_sync``).
     """
 
     def __init__(
@@ -115,15 +128,16 @@
         self.members = members
         self.clock = time_source
         self.log = log
-        self.lease = 0
-        self.in_fleet = False
+        self.lease: _contracts.Lease | None = None
+        # Era of the store in which ``fleet/NAME`` was written.
+        self.fleet_era: int | None = None
         self.stopping = False
 
     async def run(self) -> None:
         """Register, renew the lease, and register again if it was lost."""
         while not self.stopping:
             registered = await (
-                self.renew() if self.lease else self.register()
+                self.renew(self.lease) if self.lease else self.register()
             )
             if registered:
                 await self.remove_departed_vms()
@@ -146,22 +160,23 @@
             'region': self.own.region,
             'callers': self.own.callers,
             'peers': self.own.peers,
+            'era': lease.era,
         }
         key = VM_PREFIX + self.own.vm
-        if not self.in_fleet:
+        if self.fleet_era != lease.era:
             fleet_written = await self.store.write(
                 {FLEET_PREFIX + self.own.vm: b''}
             )
             if isinstance(fleet_written, result.Err):
                 return self.log_failure('count', fleet_written.err_value)
-            self.in_fleet = True
+            self.fleet_era = lease.era
         written = await self.store.write(
             {key: msgspec.json.encode(doc)}, lease=lease
         )
         if isinstance(written, result.Err):
             return self.log_failure('write', written.err_value)
         self.lease = lease
-        self.log.write('registered', lease=lease)
+        self.log.write('registered', era=lease.era, lease=lease.lease_id)
         await self.revoke_if_stopping()
         return True
 
@@ -170,18 +185,19 @@
         if self.stopping:
             await self.deregister()
 
-    async def renew(self) -> bool:
+    async def renew(self, lease: _contracts.Lease) -> bool:
         """Renew the lease; return whether it succeeded.
 
         After ``LEASE_GONE`` the next round registers again.
         """
-        renewed = await self.store.renew_lease(self.lease)
+        renewed = await self.store.renew_lease(lease)
         if isinstance(renewed, result.Ok):
             return True
         if renewed.err_value is _contracts.StoreFault.LEASE_GONE:
-            self.log.write('lease_lost', lease=self.lease)
-            self.lease = 0
-            self.in_fleet = self.own.vm in self.members.fleet
+            self.log.write('lease_lost', era=lease.era, lease=lease.lease_id)
+            self.lease = None
+            if self.own.vm not in self.members.fleet:
+                self.fleet_era = None
             return False
         return self.log_failure('renew', renewed.err_value)
 
@@ -197,9 +213,9 @@
         """
         if min(self.members.live, default='') != self.own.vm:
             return
-        for name, revision in self.members.departed_vms(self.clock.now()):
+        for name, position in self.members.departed_vms(self.clock.now()):
             removed = await self.store.delete_if_unchanged(
-                FLEET_PREFIX + name, revision
+                FLEET_PREFIX + name, position
             )
             # A conflict means that the VM returned or that another VM deleted
             # the key.
@@ -217,7 +233,7 @@
         meanwhile.
         """
         self.stopping = True
-        lease, self.lease = self.lease, 0
+        lease, self.lease = self.lease, None
         while lease:
             ended = await self.store.revoke_lease(lease)
             if not isinstance(ended, result.Err) or (
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -13,6 +13,7 @@
 from filbertstep.entry import _membership
 from filbertstep.entry import _stopping
 from filbertstep.entry import _strikes
+from filbertstep.entry import _sync
 
 # Subtracted from the bound on the use of withdrawn API keys, to allow for
 # clocks that differ in speed and for the time from the check until the request
@@ -20,6 +21,48 @@
 KEY_FRESHNESS_MARGIN_S: typing.Final = 0.3
 
 
+class KeyRules(_knowledge.KeyRules):
+    """Meaning of the platform's keys and of this program's own."""
+
+    def __init__(self, decoder: _contracts.Decoder) -> None:
+        self.decoder = decoder
+
+    def is_leased(self, key: str) -> bool:
+        """Return whether the store deletes a key when a lease ends."""
+        return self.decoder.parse_key(
+            key
+        ).kind is _contracts.KeyKind.SERVER or key.startswith(
+            _membership.VM_PREFIX
+        )
+
+    def restore_hold_s(self, key: str) -> float:
+        """Return for how long a key that a restored store lacks is kept.
+
+        The share of a rate limit that a VM may still use must not be given to
+        others.
+        """
+        if key.startswith(_membership.FLEET_PREFIX):
+            return _membership.QUOTA_RETENTION_S
+        if self.is_configuration(key):
+            return float('inf')
+        return _knowledge.DELETION_HOLD_S
+
+    def recency(self, key: str, value: bytes) -> _contracts.Recency | None:
+        """Return the recency of a value, None if it does not tell."""
+        return self.decoder.recency(key, value)
+
+    def is_configuration(self, key: str) -> bool:
+        """Return whether a key has the operator's configuration."""
+        kind = self.decoder.parse_key(key).kind
+        return kind is _contracts.KeyKind.CONFIGURATION
+
+    def settled_era(self, key: str, value: bytes) -> int | None:
+        """Return the era that a value records as settled, if it does."""
+        if key != _sync.ERA_KEY or not value.isdigit():
+            return None
+        return int(value)
+
+
 class State:
     """Tables of one VM that requests are decided on.
 
@@ -40,7 +83,7 @@
         self.stop = _stopping.Stop()
         self.members = _membership.MemberTable()
         self.replica = _knowledge.StoreReplica(
-            self.apply_change, self.is_leased_key
+            self.apply_change, KeyRules(decoder)
         )
         self.servers = steering.ServerTable(settings.region_by_zone)
         self.placement = steering.Placement(
@@ -84,13 +127,6 @@
         ):
             table.bounds = settings.bounds
 
-    def is_leased_key(self, key: str) -> bool:
-        """Return whether the store deletes a key when its lease ends."""
-        parsed_key = self.decoder.parse_key(key)
-        return parsed_key.kind is _contracts.KeyKind.SERVER or key.startswith(
-            _membership.VM_PREFIX
-        )
-
     def apply_change(self, change: _contracts.Change) -> None:
         """Apply a change of a key to the tables.
 
@@ -217,7 +253,7 @@
         The bound limits for how long a withdrawn key is accepted.
         """
         bound = self.settings.bounds.key_withdrawal_s - KEY_FRESHNESS_MARGIN_S
-        return self.replica.age(now) < bound
+        return self.replica.documents_age(now) < bound
 
     def can_confirm_missing(self, now: float) -> bool:
         """Return whether an unknown route or API key certainly does not exist.
@@ -225,7 +261,8 @@
         If the replica is older than the bound on applying a configuration, the
         route or key may have been added since.
         """
-        return self.replica.age(now) < self.settings.bounds.config_apply_s
+        bound = self.settings.bounds.config_apply_s
+        return self.replica.documents_age(now) < bound
 
     def is_ready(self, now: float) -> bool:
         """Return whether this VM can serve callers' requests."""
--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -56,6 +56,14 @@
 # How long a VM reads the store itself after the reader of its zone failed.
 DIRECT_READ_S: typing.Final = 3.0
 
+# A VM that starts after the store was restored asks this many peers at once
+# for what the store lacks.
+MAX_CONFIRMING_PEERS: typing.Final = 3
+
+# Names the latest era of the store that is settled: VMs that start later need
+# not wait.
+ERA_KEY: typing.Final = 'era'
+
 KNOWLEDGE_PATH: typing.Final = '/knowledge'
 
 
@@ -63,6 +71,7 @@
     """A change as sent between peers; ``value`` is base64, null if deleted."""
 
     key: str
+    era: int
     revision: int
     value: str | None
 
@@ -70,11 +79,14 @@
 class KnowledgeDoc(typing.TypedDict):
     """Answer of a relaying peer; ``age_s`` is the age of its replica.
 
-    If ``partial``, the changes are those after the requested revision, else
-    the full content.
+    ``documents_age_s`` is the age of the operator's documents in it, null if
+    they were never confirmed.  If ``partial``, the changes are those after the
+    requested position, else the full content.
     """
 
     age_s: float
+    documents_age_s: float | None
+    era: int
     revision: int
     partial: bool
     changes: list[ChangeDoc]
@@ -105,6 +117,8 @@
         self.connected = False
         self.retry_delay_s = INITIAL_RETRY_DELAY_S
         self.listed = False
+        # Eras that followed the first one that was seen.
+        self.restores = 0
         self.relay_peer = ''
         self.followed_peer = ''
         self.follow_after = float('-inf')
@@ -183,21 +197,60 @@
         Returns None, or the fault of a failed call.
         """
         sent_at = self.clock.now()
-        if not self.listed:
+        position = self.replica.position
+        if not self.listed or self.store.era != position.era:
             listed = await self.store.list('')
             if isinstance(listed, result.Err):
                 return listed.err_value
             self.listed = True
             self.replica.replace(listed.ok_value, sent_at, self.clock.now())
+            self.log_new_era(position)
             return None
-        watched = await self.store.watch(
-            '', self.replica.revision, MAX_WATCH_WAIT_S
-        )
+        watched = await self.store.watch('', position, MAX_WATCH_WAIT_S)
         if isinstance(watched, result.Err):
             return watched.err_value
         self.replica.apply(watched.ok_value, sent_at, self.clock.now())
+        await self.record_settled_era()
         return None
 
+    async def record_settled_era(self) -> None:
+        """Write the era once it is settled; the first live VM does so.
+
+        A failed write is repeated after the next read.
+        """
+        era = self.replica.position.era
+        recorded = self.replica.items.get(ERA_KEY)
+        value = str(era).encode()
+        if (
+            (recorded and recorded.value == value)
+            or not self.replica.is_settled()
+            or min(self.members.live, default='') != self.registration.own.vm
+        ):
+            return
+        await self.store.write({ERA_KEY: value})
+
+    def log_new_era(self, before: _contracts.Position) -> None:
+        """Log if the store was restored since the position ``before``."""
+        after = self.replica.position
+        if after.era == before.era or before == _knowledge.START:
+            return
+        self.restores += 1
+        self.log.write(
+            'store_restored',
+            era=after.era,
+            era_before=before.era,
+            revision=after.revision,
+            revision_before=before.revision,
+            missing=len(self.replica.held_deletions),
+            kept=sum(
+                item.position.era < after.era
+                for item in self.replica.items.values()
+            ),
+            documents_age_s=rounded(
+                self.replica.documents_age(self.clock.now())
+            ),
+        )
+
     def set_connected(
         self, connected: bool, fault: _contracts.StoreFault | None = None
     ) -> None:
@@ -208,14 +261,14 @@
         self.log.write(
             'store_regained' if connected else 'store_lost',
             fault=None if fault is None else fault.value,
-            revision=self.replica.revision,
+            era=self.replica.position.era,
+            revision=self.replica.position.revision,
             age_s=self.rounded_age(),
         )
 
     def rounded_age(self) -> float | None:
         """Return the replica age for a log line, None before any content."""
-        age = self.replica.age(self.clock.now())
-        return None if age == float('inf') else round(age, 3)
+        return rounded(self.replica.age(self.clock.now()))
 
     async def run_relay(self) -> None:
         """Fetch from peers whenever the replica gets old."""
@@ -223,6 +276,8 @@
             now = self.clock.now()
             if self.replica.age(now) > RELAY_AT_AGE_S:
                 await self.fetch_from_any_peer()
+            elif self.replica.documents_age(now) == float('inf'):
+                await self.confirm_documents()
             elif self.relay_peer and (self.connected or self.followed_peer):
                 self.log.write('relay_ended', peer=self.relay_peer)
                 self.relay_peer = ''
@@ -273,18 +328,30 @@
                 return
         self.relay_peer = ''
 
-    async def fetch_from_peer(self, address: str, lease: int = 0) -> bool:
+    async def confirm_documents(self) -> None:
+        """Ask a few peers whether a restored store lacks documents."""
+        for address in self.relay_candidates()[:MAX_CONFIRMING_PEERS]:
+            await self.fetch_from_peer(address)
+            if self.replica.documents_age(self.clock.now()) < float('inf'):
+                return
+
+    async def fetch_from_peer(
+        self, address: str, lease: _contracts.Lease | None = None
+    ) -> bool:
         """Fetch what a peer knows and apply it if it is more recent.
 
         Returns whether the peer answered.  If ``lease`` is given, the peer
         also renews it on behalf of this VM, which cannot reach the store.
         """
         sent_at = self.clock.now()
-        after_revision = self.replica.revision
-        params = {
-            'after': str(after_revision),
-            'lease': str(lease),
-        }
+        position = self.replica.position
+        if self.replica.documents_age(sent_at) == float('inf'):
+            # Peers may know more than a restored store that was read.
+            position = _knowledge.START
+        params = {'era': str(position.era), 'after': str(position.revision)}
+        if lease is not None:
+            params['lease_era'] = str(lease.era)
+            params['lease'] = str(lease.lease_id)
         try:
             async with self.session.get(
                 f'http://{address}{KNOWLEDGE_PATH}',
@@ -306,6 +373,7 @@
                     None
                     if change['value'] is None
                     else base64.b64decode(change['value']),
+                    change['era'],
                 )
                 for change in doc['changes']
             )
@@ -319,30 +387,40 @@
                 'relay_unreadable', peer=address, error=type(error).__name__
             )
             return False
-        fresh_at = sent_at - doc['age_s']
-        if fresh_at <= self.replica.fresh_at:
-            return True
-        batch = _contracts.ChangeBatch(changes, doc['revision'])
-        now = self.clock.now()
-        if doc['partial']:
-            self.replica.apply(batch, fresh_at, now)
-        else:
-            self.replica.replace(batch, fresh_at, now)
+        before = self.replica.position
+        documents_age_s = doc['documents_age_s']
+        self.replica.receive(
+            _contracts.ChangeBatch(changes, doc['revision'], doc['era']),
+            doc['partial'],
+            sent_at - doc['age_s'],
+            float('-inf')
+            if documents_age_s is None
+            else sent_at - documents_age_s,
+            self.clock.now(),
+        )
+        self.log_new_era(before)
         return True
 
-    def relay_answer(self, after_revision: int) -> KnowledgeDoc | None:
+    def relay_answer(self, after: _contracts.Position) -> KnowledgeDoc | None:
         """Return the content for a peer, None if the replica is too old."""
-        age = self.replica.age(self.clock.now())
+        now = self.clock.now()
+        age = self.replica.age(now)
         if age > MAX_RELAYED_AGE_S:
             return None
-        changes, partial = self.replica.changes_since(after_revision)
+        documents_age_s = self.replica.documents_age(now)
+        changes, partial = self.replica.changes_since(after)
         return {
             'age_s': age,
-            'revision': self.replica.revision,
+            'documents_age_s': None
+            if documents_age_s == float('inf')
+            else documents_age_s,
+            'era': self.replica.position.era,
+            'revision': self.replica.position.revision,
             'partial': partial,
             'changes': [
                 {
                     'key': change.key,
+                    'era': change.era,
                     'revision': change.revision,
                     'value': None
                     if change.value is None
@@ -351,3 +429,8 @@
                 for change in changes
             ],
         }
+
+
+def rounded(age: float) -> float | None:
+    """Return an age in seconds for a log line, None if it is infinite."""
+    return None if age == float('inf') else round(age, 3)
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -30,14 +30,57 @@
     return entry.Change(key, revision, value)
 
 
+def position(revision: int, era: int = 0) -> entry.Position:
+    """Return a position in the store's history."""
+    return entry.Position(era, revision)
+
+
+class SampleRules(_knowledge.KeyRules):
+    """Keys under ``s/`` have a lease; ``c`` is the configuration.
+
+    Values that are two numbers tell their recency.
+    """
+
+    def is_leased(self, key: str) -> bool:
+        """Return whether a key has a lease."""
+        return key.startswith('s/')
+
+    def restore_hold_s(self, key: str) -> float:
+        """Return for how long a key that a restored store lacks is kept."""
+        return float('inf') if key == 'c' else _knowledge.DELETION_HOLD_S
+
+    def recency(self, key: str, value: bytes) -> entry.Recency | None:
+        """Return the recency of a value such as ``b'1 7'``."""
+        numbers = value.split()
+        if len(numbers) != 2:
+            return None
+        return entry.Recency(int(numbers[0]), int(numbers[1]))
+
+    def is_configuration(self, key: str) -> bool:
+        """Return whether a key has the configuration."""
+        return key == 'c'
+
+    def settled_era(self, key: str, value: bytes) -> int | None:
+        """Return the era that the key ``era`` records as settled."""
+        return int(value) if key == _sync.ERA_KEY else None
+
+
+class UnleasedRules(SampleRules):
+    """No key has a lease."""
+
+    def is_leased(self, key: str) -> bool:
+        """Return that no key has a lease."""
+        return False
+
+
 class TestStoreReplica(unittest.TestCase):
-    """The replica alone; keys under ``s/`` have a lease."""
+    """The replica alone, with the keys of ``SampleRules``."""
 
     def setUp(self) -> None:
         """Create an empty replica that records its changes."""
         self.changes: list[entry.Change] = []
         self.replica = _knowledge.StoreReplica(
-            self.changes.append, lambda key: key.startswith('s/')
+            self.changes.append, SampleRules()
         )
 
     def apply(self, revision: int, now: float, *changes: entry.Change) -> None:
@@ -100,11 +143,13 @@
         self.assertIn('s/1', self.replica.items)
         for after, partial in ((2, True), (0, False)):
             with self.subTest(after=after):
-                found, found_partial = self.replica.changes_since(after)
+                found, found_partial = self.replica.changes_since(
+                    position(after)
+                )
                 self.assertEqual(found_partial, partial)
                 kept = {item.key for item in found if item.value}
                 self.assertNotIn('s/1', kept)
-        found, _ = self.replica.changes_since(2)
+        found, _ = self.replica.changes_since(position(2))
         self.assertIn(change('s/1', 3, None), found)
 
     def test_restarted_peer_sends_full_content(self) -> None:
@@ -113,21 +158,21 @@
         If the zone's reader was restarted in between, its first listing does
         not tell which keys were deleted before.
         """
-        reader = _knowledge.StoreReplica(lambda _: None, lambda _: False)
+        reader = _knowledge.StoreReplica(lambda _: None, UnleasedRules())
         self.apply(5, 0.0, change('a', 4), change('b', 5))
         reader.replace(entry.ChangeBatch((change('a', 4),), 8), 1.0, 1.0)
-        changes, partial = reader.changes_since(self.replica.revision)
+        changes, partial = reader.changes_since(self.replica.position)
         self.assertFalse(partial)
         self.replica.replace(entry.ChangeBatch(tuple(changes), 8), 1.0, 1.0)
         self.assertEqual(set(self.replica.items), {'a'})
 
     def test_peer_relays_deletions_of_keys_it_never_had(self) -> None:
         """A VM must not keep a server that came and went between two reads."""
-        relay = _knowledge.StoreReplica(lambda _: None, lambda _: False)
+        relay = _knowledge.StoreReplica(lambda _: None, UnleasedRules())
         relay.apply(entry.ChangeBatch((change('a', 1),), 9), 0.0, 0.0)
         self.apply(10, 0.0, change('a', 1), change('b', 10))
         relay.apply(entry.ChangeBatch((change('b', 11, None),), 11), 1.0, 1.0)
-        changes, partial = relay.changes_since(self.replica.revision)
+        changes, partial = relay.changes_since(self.replica.position)
         self.assertTrue(partial)
         self.replica.apply(entry.ChangeBatch(tuple(changes), 11), 1.0, 1.0)
         self.assertEqual(set(self.replica.items), {'a'})
@@ -148,17 +193,230 @@
         """A relay must include the deletions since the requested revision."""
         self.apply(3, 0.0, change('a', 1), change('b', 2), change('c', 3))
         self.apply(4, 0.1, change('a', 4, None))
-        found, partial = self.replica.changes_since(2)
+        found, partial = self.replica.changes_since(position(2))
         self.assertTrue(partial)
         self.assertEqual(
             {(item.key, item.value) for item in found},
             {('c', b'v'), ('a', None)},
         )
-        found, partial = self.replica.changes_since(0)
+        found, partial = self.replica.changes_since(position(0))
         self.assertFalse(partial)
         self.assertEqual({item.key for item in found}, {'b', 'c'})
 
 
+class TestRestoredReplica(unittest.TestCase):
+    """The replica of a store that is restored from an older copy."""
+
+    def setUp(self) -> None:
+        """Read a store in its first era; it was never restored before."""
+        self.replica = _knowledge.StoreReplica(lambda _: None, SampleRules())
+        self.list_store(
+            1,
+            50,
+            0.0,
+            ('c', 40, b'0 12'),
+            ('s/1', 41, b'1 9'),
+            ('s/2', 42, b'1 4'),
+            ('op/evacuate/z', 43, b'{}'),
+            ('era', 44, b'1'),
+        )
+
+    def list_store(
+        self, era: int, revision: int, now: float, *items: typing.Any
+    ) -> None:
+        """Apply a listing with rows of key, revision and value."""
+        self.replica.replace(self.batch(era, revision, *items), now, now)
+
+    def watch_store(
+        self, era: int, revision: int, now: float, *items: typing.Any
+    ) -> None:
+        """Apply the answer to a watch."""
+        self.replica.apply(self.batch(era, revision, *items), now, now)
+
+    def batch(
+        self, era: int, revision: int, *items: typing.Any
+    ) -> entry.ChangeBatch:
+        """Return a batch with rows of key, revision and value."""
+        return entry.ChangeBatch(
+            tuple(
+                entry.Change(key, at, value, era) for key, at, value in items
+            ),
+            revision,
+            era,
+        )
+
+    def value(self, key: str) -> bytes | None:
+        """Return the known value of a key."""
+        item = self.replica.items.get(key)
+        return item.value if item else None
+
+    def test_lower_revisions_of_a_new_era_are_followed(self) -> None:
+        """A VM must not wait until revisions have caught up.
+
+        All requests were refused meanwhile, and changes ignored.
+        """
+        self.list_store(2, 30, 1.0, ('a', 28, b'x'))
+        self.assertEqual(self.value('a'), b'x')
+        self.assertEqual(self.replica.position, position(30, 2))
+        self.watch_store(2, 31, 2.0, ('a', 31, b'y'))
+        self.assertEqual(self.value('a'), b'y')
+        self.assertEqual(self.replica.age(2.0), 0.0)
+
+    def test_answers_of_an_older_era_are_ignored(self) -> None:
+        """A peer that has not seen the new era must not undo it."""
+        self.list_store(2, 30, 1.0, ('a', 28, b'x'))
+        self.list_store(1, 60, 2.0, ('a', 55, b'old'))
+        self.watch_store(1, 61, 2.0, ('a', 61, b'old'))
+        late = self.batch(1, 62, ('a', 62, b'old'))
+        for partial in (False, True):
+            self.replica.receive(late, partial, 2.0, 2.0, 2.0)
+        self.assertEqual(self.value('a'), b'x')
+        self.assertEqual(self.replica.age(2.0), 1.0)
+
+    def test_a_revision_of_an_older_era_gets_the_full_content(self) -> None:
+        """A follower must not mix two histories.
+
+        The new era gives out revisions again that the follower has from the
+        era before.
+        """
+        self.list_store(2, 60, 1.0, ('a', 28, b'x'))
+        _, partial = self.replica.changes_since(position(55, 1))
+        self.assertFalse(partial)
+        _, partial = self.replica.changes_since(position(60, 2))
+        self.assertTrue(partial)
+
+    def test_older_values_of_the_copy_are_ignored(self) -> None:
+        """A draining server must not come back as ready.
+
+        Nor may a configuration go back, or a server that was removed return.
+        """
+        self.watch_store(1, 51, 0.5, ('s/2', 51, None))
+        self.list_store(
+            2,
+            30,
+            1.0,
+            ('c', 20, b'0 9'),
+            ('s/1', 21, b'1 3'),
+            ('s/2', 22, b'1 4'),
+        )
+        self.assertEqual(self.value('c'), b'0 12')
+        self.assertEqual(self.value('s/1'), b'1 9')
+        self.assertIsNone(self.value('s/2'))
+        self.watch_store(2, 31, 1.1, ('s/1', 31, b'1 10'), ('c', 31, b'0 15'))
+        self.assertEqual(self.value('s/1'), b'1 10')
+        self.assertEqual(self.value('c'), b'0 15')
+
+    def test_restarted_server_is_used_again(self) -> None:
+        """A server that starts again under its id counts from the start."""
+        self.watch_store(1, 51, 0.5, ('s/2', 51, None))
+        self.list_store(2, 30, 1.0, ('s/1', 21, b'2 1'), ('s/2', 22, b'2 1'))
+        self.assertEqual(self.value('s/1'), b'2 1')
+        self.assertEqual(self.value('s/2'), b'2 1')
+
+    def test_what_the_copy_lacks_is_held(self) -> None:
+        """Servers and evacuations must not be gone until written again."""
+        self.list_store(2, 30, 1.0, ('a', 28, b'x'))
+        self.replica.apply_held_deletions(3.1)
+        for key in ('s/1', 's/2', 'op/evacuate/z', 'c'):
+            self.assertIsNotNone(self.value(key), key)
+        self.watch_store(2, 31, 3.1, ('s/1', 31, b'1 10'))
+        self.replica.apply_held_deletions(3.3)
+        self.assertEqual(self.value('s/1'), b'1 10')
+        self.assertIsNone(self.value('s/2'))
+        self.assertIsNone(self.value('op/evacuate/z'))
+        self.assertEqual(self.value('c'), b'0 12')
+
+    def test_deletion_in_the_new_era_of_a_kept_value(self) -> None:
+        """A server that leaves after the restore must not stay."""
+        self.list_store(2, 30, 1.0, ('s/1', 21, b'1 3'))
+        self.watch_store(2, 31, 4.0, ('s/1', 31, None))
+        self.replica.apply_held_deletions(7.0)
+        self.assertIsNone(self.value('s/1'))
+
+    def test_two_restores_in_a_row(self) -> None:
+        """What was kept over one restore must outlast the next one."""
+        self.list_store(2, 30, 1.0, ('c', 20, b'0 9'), ('s/1', 21, b'1 3'))
+        self.list_store(3, 25, 2.0, ('c', 20, b'0 9'))
+        self.replica.apply_held_deletions(4.1)
+        self.assertEqual(self.value('c'), b'0 12')
+        self.assertEqual(self.value('s/1'), b'1 9')
+        self.replica.apply_held_deletions(4.3)
+        self.assertIsNone(self.value('s/1'))
+        self.assertEqual(self.replica.documents_age(2.0), 2.0)
+
+    def test_the_copy_does_not_confirm_the_configuration(self) -> None:
+        """A key whose withdrawal the store lost must not be accepted on.
+
+        The copy may lack a configuration that this VM had not read yet.
+        """
+        self.list_store(2, 30, 4.0, ('c', 20, b'0 9'))
+        self.watch_store(2, 30, 5.0)
+        self.assertEqual(self.replica.age(5.0), 0.0)
+        self.assertEqual(self.replica.documents_age(5.0), 5.0)
+        self.watch_store(2, 30, 6.3)
+        self.assertEqual(self.replica.documents_age(6.3), 0.0)
+
+    def test_rewritten_configuration_confirms_at_once(self) -> None:
+        """VMs must not refuse requests for longer than they have to."""
+        self.list_store(2, 30, 4.0, ('c', 20, b'0 9'))
+        self.watch_store(2, 31, 4.2, ('c', 31, b'0 12'))
+        self.assertEqual(self.replica.documents_age(4.2), 0.0)
+
+    def test_older_configuration_does_not_confirm(self) -> None:
+        """The operator may write its versions again one after the other."""
+        self.list_store(2, 30, 4.0, ('c', 20, b'0 9'))
+        self.watch_store(2, 31, 4.2, ('c', 31, b'0 10'))
+        self.assertEqual(self.replica.documents_age(4.2), 4.2)
+
+    def test_configuration_that_a_listing_shows_as_rewritten(self) -> None:
+        """The operator may write again before a VM lists the store."""
+        self.list_store(2, 35, 4.0, ('c', 33, b'0 12'))
+        self.assertEqual(self.replica.documents_age(4.0), 0.0)
+
+    def test_configuration_of_the_copy_does_not_confirm(self) -> None:
+        """A later version than the one in the copy may have been lost."""
+        self.list_store(2, 45, 4.0, ('c', 40, b'0 12'))
+        self.assertEqual(self.replica.documents_age(4.0), 4.0)
+
+    def started_vm(self) -> _knowledge.StoreReplica:
+        """Return a replica that has read the restored store only."""
+        started = _knowledge.StoreReplica(lambda _: None, SampleRules())
+        started.replace(
+            self.batch(2, 32, ('c', 20, b'0 9'), ('era', 10, b'1')), 1.5, 1.5
+        )
+        return started
+
+    def test_started_vm_does_not_trust_the_copy(self) -> None:
+        """A VM without memory must not accept keys that were withdrawn.
+
+        Nothing but the era's number tells it that the store was restored.
+        """
+        started = self.started_vm()
+        self.assertEqual(started.documents_age(1.5), float('inf'))
+        started.apply(entry.ChangeBatch((), 32, 2), 3.8, 3.8)
+        self.assertEqual(started.documents_age(3.8), 0.0)
+
+    def test_started_vm_trusts_a_settled_era(self) -> None:
+        """VMs must not wait at each start once the store was restored."""
+        started = _knowledge.StoreReplica(lambda _: None, SampleRules())
+        started.replace(
+            self.batch(2, 32, ('c', 20, b'0 9'), ('era', 31, b'2')), 1.5, 1.5
+        )
+        self.assertEqual(started.documents_age(1.5), 0.0)
+
+    def test_started_vm_learns_from_a_peer_what_the_copy_lacks(self) -> None:
+        """A VM that starts must know the configuration of its peers."""
+        self.list_store(2, 30, 1.0, ('c', 20, b'0 9'), ('era', 10, b'1'))
+        changes, partial = self.replica.changes_since(_knowledge.START)
+        self.assertFalse(partial)
+        started = self.started_vm()
+        relayed = entry.ChangeBatch(tuple(changes), 30, 2)
+        started.receive(relayed, partial, 1.0, 0.0, 2.0)
+        self.assertEqual(started.items['c'].value, b'0 12')
+        self.assertEqual(started.documents_age(2.0), 2.0)
+        self.assertEqual(started.position, position(32, 2))
+
+
 def make_log(time_source: clock.Clock) -> _log.DecisionLog:
     """Return a log whose lines stay in ``handler.pending``."""
     reader, writer = os.pipe()
@@ -288,7 +546,7 @@
         members = _membership.MemberTable()
         replica = _knowledge.StoreReplica(
             lambda found: members.apply_change(found, self.clock.now()),
-            lambda key: False,
+            UnleasedRules(),
         )
         registration = _membership.Registration(
             client,
@@ -442,18 +700,95 @@
             self.clock.now() - 3.5,
             self.clock.now(),
         )
-        self.assertIsNone(self.peer.relay_answer(0))
+        self.assertIsNone(self.peer.relay_answer(position(0)))
 
     async def test_vm_registers_again_after_lost_lease(self) -> None:
         """Look-ups must name a VM again after it lost its lease."""
         self.start_task(self.peer.run_store())
         self.start_task(self.peer.registration.run())
         await self.wait_until(lambda: 'v2' in self.peer.members.live)
-        self.store.expire_lease(self.peer.registration.lease)
+        lease = self.peer.registration.lease
+        assert lease is not None
+        self.store.expire_lease(lease.lease_id)
         await self.wait_until(lambda: 'v2' not in self.peer.members.live)
         await self.wait_until(lambda: 'v2' in self.peer.members.live)
         self.assertEqual(self.peer.members.vms_with_quota('v2'), {'v2'})
 
+    async def test_restored_store_is_followed(self) -> None:
+        """VMs must follow a store that was restored from an older copy.
+
+        They ignored it until its revisions had caught up with theirs, and
+        refused all requests meanwhile.
+        """
+        self.store.put('op/config', b'1')
+        older = self.store.make_copy()
+        for number in range(20):
+            self.store.put('a', str(number).encode())
+        self.start_task(self.peer.run_store())
+        await self.wait_until(
+            lambda: self.peer.replica.position.revision == self.store.revision
+        )
+        follower = self.vm('v1', self.store.address)
+        self.add_zone_members(follower, 'v0', 'v1')
+        follower.read_store = self.fail  # type: ignore[method-assign]
+        self.start_task(follower.run_store())
+        await self.wait_until(lambda: 'a' in follower.replica.items)
+        self.store.restore(older)
+        self.store.put('op/config', b'2')
+        for sync in (self.peer, follower):
+            await self.wait_until(
+                lambda sync=sync: (  # type: ignore[misc]
+                    sync.replica.items['op/config'].value == b'2'
+                )
+            )
+            self.assertLess(sync.replica.age(self.clock.now()), 2.0)
+            self.assertEqual(sync.replica.position.era, 2)
+            self.assertEqual(sync.restores, 1)
+
+    async def test_vm_registers_again_after_a_restore(self) -> None:
+        """Look-ups and shares of rates must not lose a VM.
+
+        The restored store gave its lease id to another VM, so that renewals
+        of it succeeded.
+        """
+        older = self.store.make_copy()
+        registration = self.peer.registration
+        self.assertTrue(await registration.register())
+        lease = registration.lease
+        assert lease is not None
+        self.store.restore(older)
+        other = await self.peer.store.grant_lease(3.0)
+        self.assertEqual(other.unwrap().lease_id, lease.lease_id)
+        self.assertFalse(await registration.renew(lease))
+        self.assertTrue(await registration.register())
+        self.assertLessEqual({'vms/v2', 'fleet/v2'}, set(self.store.items))
+
+    async def test_first_vm_records_a_settled_era(self) -> None:
+        """VMs that start later must not wait for what the copy may lack."""
+        self.store.put('op/config', b'1')
+        self.add_zone_members(self.peer, 'v2', 'v3')
+        self.start_task(self.peer.run_store())
+        await self.wait_until(lambda: _sync.ERA_KEY in self.store.items)
+        self.assertTrue(self.peer.replica.is_settled())
+        started = self.vm('v1', self.store.address)
+        self.assertIsNone(await started.read_store())
+        self.assertLess(started.replica.documents_age(self.clock.now()), 1.0)
+
+    async def test_started_vm_asks_peers_about_a_restored_store(self) -> None:
+        """A VM that starts must not be unready if a peer knows better."""
+        now = self.clock.now()
+        self.peer.replica.replace(entry.ChangeBatch((), 5, 1), now, now)
+        self.peer.replica.settles_at = now
+        started = self.vm('v1', self.store.address, self.peer_address)
+        self.assertIsNone(await started.read_store())
+        self.assertEqual(
+            started.replica.documents_age(self.clock.now()), float('inf')
+        )
+        self.start_task(started.run_relay())
+        await self.wait_until(
+            lambda: started.replica.documents_age(self.clock.now()) < 1.0
+        )
+
     async def test_failed_registration_is_logged(self) -> None:
         """The log must explain why look-ups do not name a VM."""
         written: list[str] = []
@@ -525,7 +860,7 @@
         self.assertEqual(table.departed_vms(1.0), [])
         self.assertEqual(
             table.departed_vms(_membership.QUOTA_RETENTION_S + 1.0),
-            [('a', 1), ('b', 2)],
+            [('a', position(1)), ('b', position(2))],
         )
         table.apply_change(change('fleet/b', 3, None), 20.0)
         self.assertEqual(len(table.vms_with_quota('a')), 1)
@@ -535,3 +870,33 @@
         table = _membership.MemberTable()
         table.apply_change(change('vms/a', 1, b'{"x":1}'), 0.0)
         self.assertEqual(table.live, {})
+
+    def test_copy_does_not_bring_vms_back(self) -> None:
+        """Look-ups must not name VMs that ended before a restore.
+
+        VMs that run register anew, and those that were live stay so until
+        then.
+        """
+        table = _membership.MemberTable()
+
+        def put(name: str, written_in: int, seen_in: int) -> None:
+            doc: _membership.MemberDoc = {
+                'availability_zone': 'z',
+                'region': 'a',
+                'callers': f'{name}:1',
+                'peers': f'{name}:2',
+                'era': written_in,
+            }
+            table.apply_change(
+                entry.Change(
+                    f'vms/{name}', 5, json.dumps(doc).encode(), seen_in
+                ),
+                0.0,
+            )
+
+        put('a', 1, 1)
+        put('a', 1, 2)
+        put('b', 1, 2)
+        self.assertEqual(set(table.live), {'a'})
+        put('b', 2, 2)
+        self.assertEqual(set(table.live), {'a', 'b'})
