Decode any entry of another writer without raising

What callers saw: msgspec raises RecursionError, which is no DecodeError, for a value that is nested too deeply, even in an unknown field. It left apply_change() in the middle of a listing or watch, so the entries after the odd one were applied only after the supervisor had started the task again, and again at each heartbeat of the odd entry. A port such as 99999 or an id with a line break was accepted, and each request placed on that server ended with an internal error, because yarl raises ValueError. Version 'r' followed by a superscript two or 5000 digits raised ValueError as well. Slots of 0 or below or above 64 bits and a slow start of 1e305 s became part of the estimates.

Cause: the documents' types admitted values that the rest of the program cannot use, and decoding caught only the errors that msgspec documents. A class of fault: partial functions at the boundary to other programs.

Change: codec.decode_open() has a result for any bytes. Ranges are part of the documents' types. Addresses are checked by one function for servers and for the members of the fleet. Members, strikes, tokens, loads and relayed content of peers decode in the same way.

--- a/filbertstep/_codec.py
+++ b/filbertstep/_codec.py
@@ -23,11 +23,23 @@
 
 def decode(data: bytes | str, schema: type[T]) -> result.Result[T, str]:
     """Decode and validate JSON; the error names the path of the field."""
+    decoded = decode_open(data, object)
+    if isinstance(decoded, result.Err):
+        return result.Err(f'not valid JSON: {decoded.err_value}')
+    return convert(decoded.ok_value, schema)
+
+
+def decode_open(data: bytes | str, schema: type[T]) -> result.Result[T, str]:
+    """Decode and validate JSON of another program; never raises.
+
+    Unknown fields are ignored.  Data that is nested too deeply is an error,
+    also where it is in an unknown field.
+    """
     try:
-        raw = msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
-        return result.Err(f'not valid JSON: {error}')
-    return convert(raw, schema)
+        return result.Ok(msgspec.json.decode(data, type=schema))
+    except (ValueError, RecursionError) as error:
+        # Invalid UTF-8 is a plain ValueError, not a msgspec error.
+        return result.Err(str(error))
 
 
 def decode_with_comments(text: str, schema: type[T]) -> result.Result[T, str]:
--- a/filbertstep/entry/_load_exchange.py
+++ b/filbertstep/entry/_load_exchange.py
@@ -96,7 +96,8 @@
             aiohttp.ClientError,
             OSError,
             TimeoutError,
-            msgspec.DecodeError,
+            ValueError,
+            RecursionError,
         ) as error:
             self.log.write(
                 'loads_failed', peer=peer.peers, error=type(error).__name__
@@ -112,7 +113,8 @@
     async def fetch(self, address: str) -> dict[str, LoadDoc]:
         """Return the answer of a peer.
 
-        Raises what the HTTP client raises, and ``msgspec.DecodeError``.
+        Raises what the HTTP client raises, ``ValueError`` for an answer that
+        cannot be decoded, and ``RecursionError`` for one nested too deeply.
         """
         async with self.session.get(
             f'http://{address}{LOADS_PATH}',
--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -12,7 +12,9 @@
 import msgspec
 import result
 
+from filbertstep import _addresses
 from filbertstep import clock
+from filbertstep import codec
 from filbertstep import steering
 from filbertstep.entry import _contracts
 from filbertstep.entry import _log
@@ -88,9 +90,13 @@
     """Decode the value of a VM's key; None if deleted or unreadable."""
     if value is None:
         return None
-    try:
-        doc = msgspec.json.decode(value, type=MemberDoc)
-    except msgspec.DecodeError:
+    decoded = codec.decode_open(value, MemberDoc)
+    if isinstance(decoded, result.Err):
+        return None
+    doc = decoded.ok_value
+    if not name or not all(
+        _addresses.is_address(doc[field]) for field in ('callers', 'peers')
+    ):
         return None
     return steering.Member(vm=name, **doc)
 
--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -10,6 +10,7 @@
 
 from filbertstep import _web
 from filbertstep import clock
+from filbertstep import codec
 from filbertstep import steering
 from filbertstep.entry import _contracts
 from filbertstep.entry import _load_exchange
@@ -103,10 +104,10 @@
 
     def handle_tokens(self, body: bytes) -> web.Response:
         """Give tokens of an account that this VM does not need to a peer."""
-        try:
-            doc = msgspec.json.decode(body, type=TokensDoc)
-        except msgspec.DecodeError:
+        decoded = codec.decode_open(body, TokensDoc)
+        if isinstance(decoded, result.Err):
             return web.Response(status=400)
+        doc = decoded.ok_value
         configuration = self.state.configuration
         account = (
             configuration.accounts.get(doc['account'])
@@ -226,7 +227,8 @@
             aiohttp.ClientError,
             OSError,
             TimeoutError,
-            msgspec.DecodeError,
+            ValueError,
+            RecursionError,
         ) as error:
             self.log.write(
                 'tokens_failed', peer=peer, error=type(error).__name__
--- a/filbertstep/entry/_strikes.py
+++ b/filbertstep/entry/_strikes.py
@@ -15,6 +15,7 @@
 import result
 
 from filbertstep import clock
+from filbertstep import codec
 from filbertstep import routing
 from filbertstep.entry import _contracts
 from filbertstep.entry import _log
@@ -108,16 +109,16 @@
         vm = change.key[len(STRIKES_PREFIX) :]
         if change.value is None or vm == self.vm:
             return
-        try:
-            row = msgspec.json.decode(change.value, type=StrikesRow)
-        except msgspec.DecodeError as error:
+        decoded = codec.decode_open(change.value, StrikesRow)
+        if isinstance(decoded, result.Err):
             self.log.write(
                 'unreadable_entry',
                 key=change.key,
                 revision=change.revision,
-                reason=type(error).__name__,
+                reason=decoded.err_value,
             )
             return
+        row = decoded.ok_value
         self.quarantine.receive(
             vm,
             row['incarnation'],
--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -314,7 +314,7 @@
                 'relay_failed', peer=address, error=type(error).__name__
             )
             return False
-        except (msgspec.DecodeError, ValueError) as error:
+        except (ValueError, RecursionError) as error:
             self.log.write(
                 'relay_unreadable', peer=address, error=type(error).__name__
             )
--- a/filbertstep/platform/_documents.py
+++ b/filbertstep/platform/_documents.py
@@ -1,11 +1,14 @@
 """Decodes the documents that operators and servers write to the store."""
 
 import collections.abc
+import re
 import typing
 
 import msgspec
 import result
 
+from filbertstep import _addresses
+from filbertstep import codec
 from filbertstep import entry
 from filbertstep import steering
 
@@ -20,6 +23,23 @@
 # Value of a rule's ``kind`` that allows retries.
 IDEMPOTENT_KIND: typing.Final = 'idempotent'
 
+# Versions fit into 64 bits, the largest integers that can be encoded.
+VERSION_REGEX: typing.Final = re.compile(r'r([0-9]{1,18})')
+
+# Server ids are sent in a header.
+SERVER_ID_REGEX: typing.Final = re.compile(r'[!-.0-~]+')
+
+# More requests than connections from one address to a server.
+MAX_SLOTS: typing.Final = 65536
+
+# A longer slow start would keep a server from use for good.
+MAX_COLD_LEFT_MS: typing.Final = 24 * 3600 * 1000
+
+# Largest integer of which all JSON implementations keep every digit.
+MAX_EXACT_INTEGER: typing.Final = 2**53
+
+NonEmptyText = typing.Annotated[str, msgspec.Meta(min_length=1)]
+
 
 class SplitDoc(typing.TypedDict):
     """One destination of a rule that splits requests by weight."""
@@ -107,16 +127,18 @@
 class InfoDoc(typing.TypedDict):
     """Properties that do not change while a server runs."""
 
-    service: str
-    zone: str
-    slots: int
+    service: NonEmptyText
+    zone: NonEmptyText
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class StatusDoc(typing.TypedDict):
     """The state of a server and the remaining time of its slow start."""
 
     state: str
-    cold_left_ms: typing.NotRequired[float]
+    cold_left_ms: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_LEFT_MS)]
+    ]
 
 
 class ServerDoc(typing.TypedDict):
@@ -125,20 +147,9 @@
     address: str
     info: InfoDoc
     status: StatusDoc
-    born: typing.NotRequired[int]
-
-
-Document = typing.TypeVar('Document')
-
-
-def decode_document(
-    value: bytes, document_type: type[Document]
-) -> result.Result[Document, str]:
-    """Decode a JSON document; unknown fields are ignored."""
-    try:
-        return result.Ok(msgspec.json.decode(value, type=document_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(str(error))
+    born: typing.NotRequired[
+        typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
+    ]
 
 
 class PlatformDecoder(entry.Decoder):
@@ -162,12 +173,12 @@
         """Decode a value; the error says why that is impossible."""
         parsed = self.parse_key(key)
         if parsed.kind is entry.KeyKind.CONFIGURATION:
-            return decode_document(value, ConfigurationDoc).and_then(
+            return codec.decode_open(value, ConfigurationDoc).and_then(
                 parse_configuration
             )
         if parsed.kind is entry.KeyKind.EVACUATION:
             return result.Ok(entry.Evacuation(parsed.name))
-        return decode_document(value, ServerDoc).and_then(
+        return codec.decode_open(value, ServerDoc).and_then(
             lambda doc: parse_server(parsed.name, doc)
         )
 
@@ -179,8 +190,9 @@
     draining = DRAINING_BY_STATE.get(doc['status']['state'])
     if draining is None:
         return result.Err('unknown server state')
-    host, _, port = doc['address'].rpartition(':')
-    if not host or not port.isdigit():
+    if not SERVER_ID_REGEX.fullmatch(server_id):
+        return result.Err('server id cannot be sent in a header')
+    if not _addresses.is_address(doc['address']):
         return result.Err('server address is not host:port')
     return result.Ok(
         steering.ServerEntry(
@@ -200,8 +212,8 @@
     doc: ConfigurationDoc,
 ) -> result.Result[entry.DecodedValue, str]:
     """Convert the configuration; return an error if it is invalid."""
-    version_digits = doc['version'].removeprefix('r')
-    if not version_digits.isdigit():
+    version = VERSION_REGEX.fullmatch(doc['version'])
+    if version is None:
         return result.Err(
             'configuration version is not r followed by a number'
         )
@@ -215,7 +227,7 @@
     }
     return result.Ok(
         steering.Configuration(
-            version=int(version_digits),
+            version=int(version[1]),
             routes=tuple(
                 parse_route(listener['host'], rule)
                 for listener in doc['listeners']
