Decode the items of a listing one by one

What callers saw: if the store had an item with a value that is not Base64, or a field of another type, each listing failed with UNAVAILABLE and each watch with HISTORY_GONE or UNAVAILABLE. The VM then had no current content at all, and refused requests.

Cause: the items of an answer were decoded as one document, so one item that cannot be decoded made all others unreadable.

Change: items are decoded one by one. One without a key or revision is left out; a value that is not Base64 becomes empty bytes, which the decoders reject as for any unreadable entry.

--- a/filbertstep/platform/_store.py
+++ b/filbertstep/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store."""
 
 import base64
+import binascii
 import collections.abc
 import typing
 
@@ -8,6 +9,7 @@
 import msgspec
 import result
 
+from filbertstep import codec
 from filbertstep import entry
 
 RANGE_PATH: typing.Final = '/filbertstep/kv-range'
@@ -35,6 +37,9 @@
     503: entry.StoreFault.REFUSED,
 }
 
+# Revisions are 64-bit integers.
+MAX_REVISION: typing.Final = 2**63 - 1
+
 
 class ItemDoc(typing.TypedDict):
     """An item, or its deletion: ``deleted`` and no ``value``.
@@ -43,15 +48,18 @@
     """
 
     key: str
-    revision: int
+    revision: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
     value: typing.NotRequired[str]
     deleted: typing.NotRequired[bool]
 
 
 class RangeDoc(typing.TypedDict):
-    """A page of items and the current revision of the whole store."""
+    """A page of items and the current revision of the whole store.
+
+    The items are decoded one by one, so that each is independent of the rest.
+    """
 
-    items: list[ItemDoc]
+    items: list[msgspec.Raw]
     store_revision: int
     has_more: typing.NotRequired[bool]
 
@@ -62,7 +70,7 @@
     The next watch continues after ``store_revision``.
     """
 
-    events: list[ItemDoc]
+    events: list[msgspec.Raw]
     store_revision: int
 
 
@@ -82,17 +90,33 @@
 Document = typing.TypeVar('Document')
 
 
-def decode_change(item: ItemDoc) -> entry.Change:
-    """Decode a change.
+def decode_change(raw: msgspec.Raw) -> entry.Change | None:
+    """Decode a change, None if it names no key and revision.
 
-    Raises ValueError if the value is not valid Base64.
+    A value that is not valid Base64 becomes empty bytes, which are no document
+    of any kind.
     """
+    decoded = codec.decode_open(raw, ItemDoc)
+    if isinstance(decoded, result.Err):
+        return None
+    item = decoded.ok_value
     value = None
     if not item.get('deleted'):
-        value = base64.b64decode(item.get('value', ''), validate=True)
+        try:
+            value = base64.b64decode(item.get('value', ''), validate=True)
+        except (binascii.Error, ValueError):
+            value = b''
     return entry.Change(item['key'], item['revision'], value)
 
 
+def decode_changes(
+    rows: collections.abc.Iterable[msgspec.Raw],
+) -> list[entry.Change]:
+    """Decode all changes that can be decoded."""
+    changes = [decode_change(row) for row in rows]
+    return [change for change in changes if change is not None]
+
+
 class PlatformStoreClient(entry.StoreClient):
     """Client of the store at a URL; closes the session at the end."""
 
@@ -135,14 +159,11 @@
                     return FAULT_BY_STATUS.get(
                         response.status, entry.StoreFault.UNAVAILABLE
                     )
-            return msgspec.json.decode(content or b'{}', type=document_type)
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            msgspec.DecodeError,
-        ):
+        except (aiohttp.ClientError, OSError, TimeoutError):
             return entry.StoreFault.UNAVAILABLE
+        return codec.decode_open(content or b'{}', document_type).unwrap_or(
+            entry.StoreFault.UNAVAILABLE
+        )
 
     async def list(self, prefix: str) -> entry.StoreResult[entry.ChangeBatch]:
         """Read all keys under a prefix, page by page.
@@ -163,15 +184,16 @@
                 return result.Err(page)
             if start_revision is None:
                 start_revision = page['store_revision']
-            try:
-                changes += [decode_change(item) for item in page['items']]
-            except ValueError:
-                return result.Err(entry.StoreFault.UNAVAILABLE)
+            page_changes = decode_changes(page['items'])
+            changes += page_changes
             if not page.get('has_more') or not page['items']:
                 return result.Ok(
                     entry.ChangeBatch(tuple(changes), start_revision)
                 )
-            after = page['items'][-1]['key']
+            if not page_changes:
+                # The key after which the next page begins is unknown.
+                return result.Err(entry.StoreFault.UNAVAILABLE)
+            after = page_changes[-1].key
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
@@ -190,10 +212,7 @@
         )
         if isinstance(doc, entry.StoreFault):
             return result.Err(doc)
-        try:
-            changes = tuple(decode_change(item) for item in doc['events'])
-        except ValueError:
-            return result.Err(entry.StoreFault.HISTORY_GONE)
+        changes = tuple(decode_changes(doc['events']))
         return result.Ok(entry.ChangeBatch(changes, doc['store_revision']))
 
     async def write(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -366,3 +366,40 @@
         self.assertEqual(await self.client.renew_lease(lease), result.Ok(3.0))
         await self.client.revoke_lease(lease)
         self.assertNotIn('vms/a', self.fake_store.items)
+
+    async def test_one_odd_item_hides_no_other(self) -> None:
+        """Guards against a listing or watch that fails for one item."""
+        odd_changes: tuple[dict[str, object], ...] = (
+            {'value': 'not Base64'},
+            {'value': 7},
+            {'value': None},
+            {'revision': 'x'},
+            {'revision': 10**30},
+            {'revision': 0.5},
+        )
+        for changes in odd_changes:
+            with self.subTest(changes=changes):
+                before = self.fake_store.put('k1', b'1')
+                self.fake_store.put('k2', b'2')
+                self.fake_store.put('k3', b'3')
+                odd_item = {**self.fake_store.items['k2'], **changes}
+                self.fake_store.items['k2'] = odd_item
+                listing = (await self.client.list('')).unwrap()
+                values = {one.key: one.value for one in listing.changes}
+                self.assertEqual((values['k1'], values['k3']), (b'1', b'3'))
+                self.assertIn(values.get('k2', b''), (b'', b'2'))
+                self.assertEqual(listing.revision, self.fake_store.revision)
+                # The history filters by revision.
+                if 'revision' not in changes:
+                    self.fake_store.events[-2].update(changes)
+                    batch = (await self.client.watch('', before, 1.0)).unwrap()
+                    self.assertEqual(batch.changes[-1].value, b'3')
+
+    async def test_pages_continue_after_an_odd_item(self) -> None:
+        """Guards against a listing that ends at an odd item."""
+        for number in range(12):
+            self.fake_store.put(f'k{number:02}', b'1')
+        odd_key = f'k{platform_store.PAGE_ITEMS - 1:02}'
+        self.fake_store.items[odd_key]['revision'] = None
+        listing = (await self.client.list('')).unwrap()
+        self.assertEqual(len({one.key for one in listing.changes}), 11)
