Read numbers in headers without raising

What callers saw: an answer with an odd X-Server-Load or Keep-Alive, such as a superscript two or a number of 400 digits, ended the attempt with ValueError or OverflowError. The caller got an internal error although the server had run the request and answered. A caller's own odd X-Deadline-Ms did the same, and so did a server whose address the HTTP client rejects.

The forwarder took only connection errors for the end of an attempt.

Change: parse_decimal() reads a few ASCII digits or nothing. ValueError from the HTTP client ends an attempt with an outcome: not sent, unless the request was written.

--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -67,7 +67,9 @@
 
 REQUEST_ID_HEADER: typing.Final = 'X-Request-Id'
 KEEP_ALIVE_HEADER: typing.Final = 'Keep-Alive'
-KEEP_ALIVE_TIMEOUT_REGEX: typing.Final = re.compile(r'timeout=(\d+)')
+KEEP_ALIVE_TIMEOUT_REGEX: typing.Final = re.compile(
+    r'timeout=([0-9]{1,9})(?![0-9])'
+)
 
 
 class ResponseConventions(typing.NamedTuple):
@@ -587,7 +589,13 @@
                 state.status,
                 message=type(error).__name__,
             )
-        except (aiohttp.ClientError, OSError, RepeatedError) as error:
+        except (
+            aiohttp.ClientError,
+            OSError,
+            RepeatedError,
+            # What the HTTP client raises for an invalid address.
+            ValueError,
+        ) as error:
             return connection_failed(state, type(error).__name__)
         finally:
             CURRENT_ATTEMPT.reset(token)
--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -7,6 +7,7 @@
 import aiohttp
 from aiohttp import web
 
+from filbertstep import _decimals
 from filbertstep import _web
 from filbertstep import clock
 from filbertstep import codec
@@ -31,6 +32,9 @@
 # again.
 LOOKUP_TTL_S: typing.Final = 1.0
 
+# Deadlines of this many digits are thirty years away.
+MAX_DEADLINE_DIGITS: typing.Final = 12
+
 # Colon, space and line end (CRLF).
 HEADER_SEPARATOR_BYTES: typing.Final = 4
 
@@ -147,9 +151,11 @@
         """Return the call that an HTTP request describes."""
         wire_format, headers = self.wire_format, request.headers
         time_left_s = _requests.DEFAULT_DEADLINE_S
-        deadline_ms = headers.get(wire_format.deadline_header, '')
-        if deadline_ms.isdigit():
-            time_left_s = int(deadline_ms) / 1000
+        deadline_ms = _decimals.parse_decimal(
+            headers.get(wire_format.deadline_header, ''), MAX_DEADLINE_DIGITS
+        )
+        if deadline_ms is not None:
+            time_left_s = deadline_ms / 1000
         scheme, _, key = headers.get(wire_format.key_header, '').partition(' ')
         known_scheme = scheme.lower() == wire_format.key_scheme.lower()
         return _messages.Call(
--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -8,6 +8,7 @@
 import msgspec
 import result
 
+from filbertstep import _decimals
 from filbertstep import _web
 from filbertstep import clock
 from filbertstep import codec
@@ -70,13 +71,13 @@
 
     def handle_knowledge(self, request: web.BaseRequest) -> web.Response:
         """Relay this VM's content, and renew the lease that the peer names."""
-        after = request.query.get('after', '')
-        doc = self.sync.relay_answer(int(after) if after.isdigit() else 0)
+        after = _decimals.parse_decimal(request.query.get('after', ''))
+        doc = self.sync.relay_answer(after or 0)
         if doc is None:
             return web.Response(status=503)
-        lease = request.query.get('lease', '')
-        if lease.isdigit() and int(lease) > 0:
-            task = asyncio.ensure_future(self.renew_peer_lease(int(lease)))
+        lease = _decimals.parse_decimal(request.query.get('lease', ''))
+        if lease:
+            task = asyncio.ensure_future(self.renew_peer_lease(lease))
             self.lease_renewals.add(task)
             task.add_done_callback(self.lease_renewals.discard)
         answer = _web.json_response(doc)
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from filbertstep import _decimals
 from filbertstep import delivery
 from filbertstep import metrics
 from filbertstep import steering
@@ -24,6 +25,9 @@
 # expected run time, may be 0.
 MIN_EXPECTED_RUN_S: typing.Final = 0.001
 
+# More requests than a server can run or queue are no load.
+MAX_LOAD_DIGITS: typing.Final = 6
+
 
 class FinishedAttempt(typing.NamedTuple):
     """A finished attempt at one server."""
@@ -312,6 +316,10 @@
     Returns None if the header is absent or malformed.
     """
     parts = text.split(',')
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts):
+    counts = [
+        _decimals.parse_decimal(part.strip(), MAX_LOAD_DIGITS)
+        for part in parts
+    ]
+    if len(counts) < 2 or None in counts:
         return None
-    return int(parts[0]), int(parts[1])
+    return counts[0] or 0, counts[1] or 0
