Take no refusal of an earlier request for one of the current

An operator of a similar system reported servers that write an earlier refusal once more on a kept connection. It could happen here too.

What callers saw: a repeated refusal without an id, or with the ids of both requests, that arrived after the next request was written counted as the response to that request. A request that is not idempotent then went to a second server, or its caller was told 'not run', while the first server ran it. A repeated success without an id reached another caller. Repeats with the id of the earlier request, and all that arrived before the next request was written, were recognized already.

Cause: a response without an id was taken for the response to the current request, although only the first response on a connection can have no other request. Of several ids the first one counted. An id that an earlier request on the connection had was not told apart either.

Change: the protocol decides for each final response whether it certainly belongs to the current request. A response without an id from a server that sends ids is skipped, so the real response still arrives. A refusal that may belong to another request makes the outcome unknown (MISMATCHED).

--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import contextvars
 import enum
@@ -19,6 +20,7 @@
 from aiohttp import client_proto
 from aiohttp import http_parser
 from aiohttp import streams
+import multidict
 import yarl
 
 from filbertstep import errors
@@ -65,6 +67,12 @@
 # Responses to earlier requests that are skipped before an attempt fails.
 MAX_SKIPPED_RESPONSES: typing.Final = 4
 
+# Ids of earlier requests that are kept for each connection.
+MAX_EARLIER_IDS: typing.Final = 64
+
+# A server to which the request was not directed did not run it.
+MISDIRECTED_STATUS: typing.Final = 421
+
 REQUEST_ID_HEADER: typing.Final = 'X-Request-Id'
 KEEP_ALIVE_HEADER: typing.Final = 'Keep-Alive'
 KEEP_ALIVE_TIMEOUT_REGEX: typing.Final = re.compile(
@@ -179,7 +187,7 @@
         self.status = 0
         self.cancelled = False
         self.timeout_scope: asyncio.Timeout | None = None
-        self.transport: asyncio.Transport | None = None
+        self.protocol: BoundedProtocol | None = None
 
     def authorize_send(self, request: aiohttp.ClientRequest) -> None:
         """Run ``before_send``, set ``X-Deadline-Ms``, and note the send.
@@ -211,21 +219,44 @@
     """
 
 
+def echoed_ids(
+    headers: multidict.CIMultiDictProxy[str],
+) -> frozenset[str]:
+    """Return the request ids in a response; more than one is a fault."""
+    return frozenset(headers.getall(REQUEST_ID_HEADER, ())) - {''}
+
+
 class BoundedProtocol(client_proto.ResponseHandler):
     """Closes a connection on which a server sends bytes without end.
 
     aiohttp limits the lines of a head.  This class limits everything else that
     is not the content of a body, and accepts nothing on an idle connection.
+
+    ``attributed`` tells whether the last final response certainly belongs to
+    the current request, and not to an earlier one on the same connection.
     """
 
     expected_id: str | None = None
     awaits_head = False
     overhead_bytes = 0
     interim_responses = 0
+    final_responses = 0
+    attributed = False
+    expects_new_id = True
+    # Whether any response on this connection contained a request id.
+    echoes_ids = False
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.earlier_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_EARLIER_IDS
+        )
 
     def begin_request(self, request_id: str) -> None:
         """Expect the response to the request that is about to be sent."""
         self.expected_id = request_id
+        self.expects_new_id = request_id not in self.earlier_ids
+        self.earlier_ids.append(request_id)
         self.awaits_head = True
         self.overhead_bytes = 0
         self.interim_responses = 0
@@ -237,8 +268,22 @@
         message, payload = await super().read()
         if message.code >= MIN_FINAL_STATUS:
             self.awaits_head = False
+            ids = echoed_ids(message.headers)
+            self.attributed = self.is_attributed(ids)
+            self.echoes_ids = self.echoes_ids or bool(ids)
+            self.final_responses += 1
         return message, payload
 
+    def is_attributed(self, ids: frozenset[str]) -> bool:
+        """Return whether a response with these ids is to this request.
+
+        Without an id, only the first response on a connection is.  An id that
+        an earlier request had, too, does not tell the two apart.
+        """
+        if not ids:
+            return self.final_responses == 0
+        return ids == {self.expected_id} and self.expects_new_id
+
     def data_received(self, data: bytes) -> None:
         """Parse data from the server within the limits."""
         while len(data) > MAX_PARSED_BYTES and not self.is_in_body():
@@ -299,7 +344,8 @@
 
     A faulty server may respond twice.  The second response arrives where the
     response to the next request is expected; the request id in the response
-    tells them apart.  ``record_keep_alive`` gets ``Keep-Alive`` values.
+    tells them apart.  A response without an id is skipped too if the server
+    is known to send ids.  ``record_keep_alive`` gets ``Keep-Alive`` values.
     """
 
     record_keep_alive: collections.abc.Callable[[str], None] | None = None
@@ -317,13 +363,21 @@
             keep_alive = message.headers.get(KEEP_ALIVE_HEADER)
             if keep_alive is not None and self.record_keep_alive is not None:
                 self.record_keep_alive(keep_alive)
-            echoed = message.headers.get(REQUEST_ID_HEADER)
-            if self.expected_id is None or echoed in (None, self.expected_id):
+            if not self.is_of_another(message):
                 return message, payload
             self.awaits_head = True
             await skip_body(payload)
         raise ExcessBytesError
 
+    def is_of_another(self, message: http_parser.RawResponseMessage) -> bool:
+        """Return whether a response is to another request than this."""
+        if not self.expected_id or message.code < MIN_FINAL_STATUS:
+            return False
+        ids = echoed_ids(message.headers)
+        if not ids:
+            return self.echoes_ids and not self.attributed
+        return ids != {self.expected_id}
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a close-delimited response when the connection was reset.
 
@@ -419,8 +473,8 @@
         if state is not None:
             try:
                 state.authorize_send(req)
-                state.transport = connection.transport
                 if isinstance(connection.protocol, BoundedProtocol):
+                    state.protocol = connection.protocol
                     connection.protocol.begin_request(state.request_id)
             except BaseException:
                 connection.release()
@@ -654,18 +708,16 @@
             (str(name), value)
             for name, value in response.headers.items()
         )
-        echoed = response.headers.get('X-Request-Id')
-        if echoed is not None and echoed != attempt.request_id:
-            response.close()
-            # A response without a body has already returned its connection to
-            # the pool, so closing the response does not close it.
-            if state.transport is not None:
-                state.transport.close()
-            return ForwardOutcome(
-                ForwardOutcomeKind.MISMATCHED,
-                True,
-                message='answer of another',
-            )
+        ids = echoed_ids(response.headers)
+        if ids and ids != {attempt.request_id}:
+            return mismatched(state, response, 'answer of another')
+        not_run = reports_not_run(self.conventions, response)
+        if (
+            (not_run or response.status == MISDIRECTED_STATUS)
+            and state.protocol is not None
+            and not state.protocol.attributed
+        ):
+            return mismatched(state, response, 'refusal of any request')
         if not self.conventions.allow_close_delimited and not is_delimited(
             attempt.method, response
         ):
@@ -674,9 +726,9 @@
                 state, 'the end of the answer is not marked'
             )
         chunks, complete = await read_buffered(response)
-        kind = ForwardOutcomeKind.ANSWERED
-        if reports_not_run(self.conventions, response):
-            kind = ForwardOutcomeKind.SHED
+        kind = (
+            ForwardOutcomeKind.SHED if not_run else ForwardOutcomeKind.ANSWERED
+        )
         if not complete and kind is ForwardOutcomeKind.ANSWERED:
             stream = ResponseStream(
                 response,
@@ -697,6 +749,18 @@
         )
 
 
+def mismatched(
+    state: AttemptState, response: aiohttp.ClientResponse, message: str
+) -> ForwardOutcome:
+    """Close the connection and return the outcome of an unusable response."""
+    response.close()
+    # A response without a body has already returned its connection to the
+    # pool, so closing the response does not close it.
+    if state.protocol is not None:
+        state.protocol.close()
+    return ForwardOutcome(ForwardOutcomeKind.MISMATCHED, True, message=message)
+
+
 def connection_failed(state: AttemptState, message: str) -> ForwardOutcome:
     """Return the outcome of an attempt without a usable response.
 
--- a/tests/test_forward_faulty.py
+++ b/tests/test_forward_faulty.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections.abc
+import enum
 import socket
 import struct
 import typing
@@ -178,6 +179,145 @@
         self.assertEqual(outcome.kind, Kind.SHED)
 
 
+def refusal(*headers: str, status: str = '503 Busy') -> bytes:
+    """Return a response that says that a request was not run."""
+    return test_forward.http_response(
+        b'', 'X-Not-Executed: 1', *headers, status=status
+    )
+
+
+# Responses to an earlier request, r1, that arrive again.
+REPEATED_RESPONSES: typing.Final = {
+    'id of the earlier request': refusal('X-Request-Id: r1'),
+    'no id': refusal(),
+    'empty id': refusal('X-Request-Id: '),
+    'id in other case': refusal('X-Request-Id: R2'),
+    'both ids': refusal('X-Request-Id: r2', 'X-Request-Id: r1'),
+    'both ids, other order': refusal('X-Request-Id: r1', 'X-Request-Id: r2'),
+    'misdirected, no id': test_forward.http_response(b'', status='421 No'),
+    'success, no id': test_forward.http_response(b'old'),
+}
+
+
+class Placement(enum.Enum):
+    """When the response to the earlier request arrives again."""
+
+    WITH_THE_FIRST = enum.auto()
+    WHILE_IDLE = enum.auto()
+    AFTER_THE_NEXT_REQUEST = enum.auto()
+    BETWEEN_INTERIM_RESPONSES = enum.auto()
+    WITH_THE_NEXT_RESPONSE = enum.auto()
+
+
+def replies_again(
+    repeated: bytes, placement: Placement, echo: bool = True
+) -> test_forward.Replier:
+    """Return a replier that refuses r1, and sends ``repeated`` once more.
+
+    Without ``echo``, its own responses contain no id.
+    """
+
+    async def reply(
+        server: test_forward.RawServer,
+        writer: asyncio.StreamWriter,
+        request: bytes,
+    ) -> None:
+        request_id = test_forward.header(request, 'X-Request-Id')
+        headers = [f'X-Request-Id: {request_id}'] if echo else []
+        success = test_forward.http_response(b'ok', *headers)
+        if len(server.requests) == 1:
+            writer.write(refusal(*headers))
+            if placement is Placement.WITH_THE_FIRST:
+                writer.write(repeated)
+            if placement is Placement.WHILE_IDLE:
+                await asyncio.sleep(0.02)
+                writer.write(repeated)
+            return
+        if len(server.requests) > 2:
+            writer.write(success)
+            return
+        if placement is Placement.AFTER_THE_NEXT_REQUEST:
+            writer.write(repeated)
+            await asyncio.sleep(0.02)
+        if placement is Placement.BETWEEN_INTERIM_RESPONSES:
+            interim = b'HTTP/1.1 102 Processing\r\n\r\n'
+            writer.write(interim + repeated + interim)
+            await asyncio.sleep(0.02)
+        if placement is Placement.WITH_THE_NEXT_RESPONSE:
+            writer.write(repeated)
+        writer.write(success)
+
+    return reply
+
+
+class TestRepeatedRefusals(FaultyCase):
+    """Servers that write an earlier refusal again on a kept connection."""
+
+    async def test_the_current_request_gets_its_own_response(self) -> None:
+        """Guards against 'not run' for a request that a server runs."""
+        for name, repeated in REPEATED_RESPONSES.items():
+            for placement in Placement:
+                with self.subTest(name, placement=placement):
+                    await self.connect(replies_again(repeated, placement))
+                    first = await self.send('r1')
+                    self.assertEqual(first.kind, Kind.SHED)
+                    await asyncio.sleep(0.04)
+                    second = await self.send('r2')
+                    self.assertEqual(second.kind, Kind.ANSWERED)
+                    self.assertEqual(second.body, b'ok')
+
+    async def test_a_refusal_that_may_be_of_another_proves_nothing(
+        self,
+    ) -> None:
+        """Guards against a second run of a request that a server runs.
+
+        The server sends no ids at all, or the caller uses an id again.
+        """
+        for name, repeated, echo, second_id in (
+            ('no ids', refusal(), False, 'r2'),
+            (
+                'misdirected, no ids',
+                REPEATED_RESPONSES['misdirected, no id'],
+                False,
+                'r2',
+            ),
+            ('id used again', refusal('X-Request-Id: r1'), True, 'r1'),
+        ):
+            with self.subTest(name):
+                await self.connect(
+                    replies_again(
+                        repeated, Placement.AFTER_THE_NEXT_REQUEST, echo
+                    )
+                )
+                first = await self.send('r1')
+                self.assertEqual(first.kind, Kind.SHED)
+                second = await self.send(second_id)
+                self.assertEqual(second.kind, Kind.MISMATCHED)
+                self.assertTrue(second.sent)
+                third = await self.send('r3')
+                self.assertEqual(third.kind, Kind.ANSWERED)
+                self.assertEqual(self.server.connections, 2)
+
+    async def test_refusals_with_the_id_count_on_kept_connections(
+        self,
+    ) -> None:
+        """Guards against an unknown outcome for each refused request."""
+
+        async def reply(
+            server: test_forward.RawServer,
+            writer: asyncio.StreamWriter,
+            request: bytes,
+        ) -> None:
+            request_id = test_forward.header(request, 'X-Request-Id')
+            writer.write(refusal(f'X-Request-Id: {request_id}'))
+
+        await self.connect(reply)
+        for request_id in ('r1', 'r2', 'r3'):
+            outcome = await self.send(request_id)
+            self.assertEqual(outcome.kind, Kind.SHED)
+        self.assertEqual(self.server.connections, 1)
+
+
 class TestKeepAlive(FaultyCase):
     """How long idle connections are reused."""
 
