Pass on no unmarked refusal of a request that may run once

What callers saw: a server's answer 503, 429 or 408 without the header that says that the request did not run was passed on unchanged. Callers take these statuses as a promise and repeat requests that are not idempotent, which the server may have run.

Cause: only the outcome's kind was checked for our own replies; a server's status went to the caller whatever it promised.

Change: on a route that is not idempotent, such an answer becomes 502 without the server's seal. Idempotent requests get the answer as before, and 421 counts as not run as before, because each request names the server that it is meant for.

Evidence: test_unmarked_refusals_promise_nothing: 408, 429 and 503 instead of 502 before.

--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -408,8 +408,7 @@
         answers = [
             attempt.outcome
             for attempt in attempts
-            if attempt.outcome.kind is OutcomeKind.ANSWERED
-            and not _tries.certainly_not_run(attempt.outcome)
+            if _tries.may_pass_on(attempt.outcome, admitted.route.idempotent)
         ]
         answer = answers[-1] if answers else None
         for attempt in attempts:
@@ -439,7 +438,8 @@
                 ErrorKind.DEADLINE_EXCEEDED, 'no answer within the time'
             )
         return _messages.failure_reply(
-            ErrorKind.BACKEND_FAILED, f'the server failed: {last.message}'
+            ErrorKind.BACKEND_FAILED,
+            f'the server failed: {last.message or last.status}',
         )
 
     def record_reply(
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -21,6 +21,9 @@
 # With these statuses a server says that it ran the request and failed.
 SERVER_FAILURE_STATUSES: typing.Final = frozenset({500, 502, 503, 504})
 
+# These statuses tell a caller that its request did not run and never will.
+NOT_RUN_STATUSES: typing.Final = frozenset({408, 421, 429, 503})
+
 # Keeps divisors from 0: the target latency of a route, and with it the
 # expected run time, may be 0.
 MIN_EXPECTED_RUN_S: typing.Final = 0.001
@@ -300,6 +303,19 @@
     return outcome.kind is OutcomeKind.ANSWERED and outcome.status == 421
 
 
+def may_pass_on(outcome: delivery.ForwardOutcome, idempotent: bool) -> bool:
+    """Return whether a caller may get an outcome as a server's answer.
+
+    A server that did not run a request marks its answer.  The status alone
+    must not make the caller repeat a request that may run only once.
+    """
+    return (
+        outcome.kind is OutcomeKind.ANSWERED
+        and not certainly_not_run(outcome)
+        and (idempotent or outcome.status not in NOT_RUN_STATUSES)
+    )
+
+
 def find_header(
     outcome: delivery.ForwardOutcome, header_name: str
 ) -> str | None:
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -356,6 +356,23 @@
                 ]
                 self.assertEqual(len(set(servers)), len(servers))
 
+    async def test_unmarked_refusals_promise_nothing(self) -> None:
+        """Guards against 'not run' for a request that a server ran.
+
+        A server that did not run a request says so in a header.
+        """
+        for server_status in (408, 429, 503):
+            for idempotent, expected in ((False, 502), (True, server_status)):
+                with self.subTest(server_status, idempotent=idempotent):
+                    self.build(
+                        *[answered(server_status)] * 3, idempotent=idempotent
+                    )
+                    reply = await self.serve()
+                    self.assertEqual(reply.status, expected)
+                    self.assertEqual(
+                        ('X-Server-Seal', 'seal') in reply.headers, idempotent
+                    )
+
     async def test_server_headers_come_only_with_server_answers(self) -> None:
         """Only a server's own answer may carry its X-Server-Seal header."""
         self.build(answered(500), idempotent=False)
