Decode the node's documents of others without raising

The class of fault of the odd entries, in filbertstep-node: a value that is nested too deeply in a load report of a probe, in the list of VMs, in an item of its store, in a peer's message or in an operator's ticket raised RecursionError, which ended the task that asked, or the request with an internal error. X-Consul-Index with thousands of digits raised ValueError.

Change: these places use codec.decode_open() and parse_decimal().

Evidence: TestNodeDocuments and the new case of test_vm_list: RecursionError in both before.

--- a/filbertstep/_http_peers.py
+++ b/filbertstep/_http_peers.py
@@ -10,7 +10,6 @@
 import typing
 
 import aiohttp
-import msgspec
 import result
 
 from filbertstep import codec
@@ -120,10 +119,7 @@
     An invalid response becomes an ``OUTCOME_UNKNOWN`` failure, and a failure
     of an unknown kind becomes ``INTERNAL``.
     """
-    try:
-        decoded = msgspec.json.decode(body)
-    except msgspec.DecodeError:
-        decoded = None
+    decoded = codec.decode_open(body, object).unwrap_or(None)
     if status == 200 and isinstance(decoded, dict):
         return result.Ok(decoded)
     converted = codec.convert(decoded, FailureDoc)
--- a/filbertstep/_operators.py
+++ b/filbertstep/_operators.py
@@ -9,7 +9,6 @@
 import typing
 
 from aiohttp import web
-import msgspec
 import result
 
 from filbertstep import _web
@@ -107,15 +106,15 @@
 
     async def submit_ticket(self, request: web.Request) -> web.Response:
         """Commit a ticket; respond when the store has it."""
-        try:
-            raw = msgspec.json.decode(await request.read())
-        except msgspec.DecodeError as error:
+        decoded = codec.decode_open(await request.read(), object)
+        if isinstance(decoded, result.Err):
             return _web.error_response(
                 errors.Failure(
-                    errors.ErrorKind.INVALID_TICKET, f'not JSON: {error}'
+                    errors.ErrorKind.INVALID_TICKET,
+                    f'not JSON: {decoded.err_value}',
                 )
             )
-        submitted = await self.agreement.submit_ticket(raw)
+        submitted = await self.agreement.submit_ticket(decoded.ok_value)
         if isinstance(submitted, result.Err):
             return _web.error_response(submitted.err_value)
         return _web.json_response(submitted.ok_value._asdict())
--- a/filbertstep/_peer_server.py
+++ b/filbertstep/_peer_server.py
@@ -6,7 +6,6 @@
 import collections.abc
 
 from aiohttp import web
-import msgspec
 import result
 
 from filbertstep import _http_peers
@@ -46,10 +45,9 @@
             return failure_response(
                 errors.Failure(errors.ErrorKind.NOT_FOUND, 'unknown message')
             )
-        try:
-            message = msgspec.json.decode(await request.read())
-        except msgspec.DecodeError:
-            message = None
+        message = codec.decode_open(await request.read(), object).unwrap_or(
+            None
+        )
         if not isinstance(message, dict):
             return failure_response(
                 errors.Failure(
--- a/filbertstep/_probes.py
+++ b/filbertstep/_probes.py
@@ -7,9 +7,11 @@
 
 import aiohttp
 import msgspec
+import result
 
 from filbertstep import _health
 from filbertstep import clock
+from filbertstep import codec
 from filbertstep import config
 from filbertstep import systems
 
@@ -59,10 +61,10 @@
     if header is None:
         return None
     text = header.removeprefix(JSON_REPORT_PREFIX)
-    try:
-        report = msgspec.json.decode(text, type=OrcaReport)
-    except msgspec.DecodeError:
+    decoded = codec.decode_open(text, OrcaReport)
+    if isinstance(decoded, result.Err):
         return None
+    report = decoded.ok_value
     load = report.application_utilization or report.cpu_utilization
     return min(1.0, max(0.0, load))
 
--- a/filbertstep/_store.py
+++ b/filbertstep/_store.py
@@ -17,6 +17,8 @@
 import msgspec
 import result
 
+from filbertstep import _decimals
+
 # The store answers within milliseconds.  If it does not answer for this long,
 # it is down or unreachable.
 CALL_TIMEOUT_S: typing.Final = 2.0
@@ -164,8 +166,8 @@
 
 def consul_index(response: aiohttp.ClientResponse) -> int:
     """Return the X-Consul-Index of a response, or 0 if it is missing."""
-    text = response.headers.get('X-Consul-Index', '0')
-    return int(text) if text.isdecimal() else 0
+    text = response.headers.get('X-Consul-Index', '')
+    return _decimals.parse_decimal(text) or 0
 
 
 def decode_entry(body: bytes) -> result.Result[Entry, StoreError]:
@@ -173,7 +175,7 @@
     try:
         docs = msgspec.json.decode(body, type=list[KvDoc])
         value = base64.b64decode(docs[0].Value or '', validate=True)
-    except (msgspec.DecodeError, ValueError, IndexError):
+    except (ValueError, RecursionError, IndexError):
         return result.Err(StoreError.UNKNOWN)
     return result.Ok(Entry(value, docs[0].ModifyIndex))
 
--- a/filbertstep/_vm_list.py
+++ b/filbertstep/_vm_list.py
@@ -11,6 +11,8 @@
 import msgspec
 import result
 
+from filbertstep import codec
+
 VM_LIST_PATH: typing.Final = '/v1/health/service/filbertstep'
 
 VM_LIST_TIMEOUT_S: typing.Final = 2.0
@@ -85,11 +87,11 @@
                     return result.Err(f'VM list status {response.status}')
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return result.Err(f'VM list: {error}')
-        try:
-            entries = msgspec.json.decode(body, type=list[HealthEntry])
-        except msgspec.DecodeError as error:
-            return result.Err(f'VM list: {error}')
-        return result.Ok([parse_entry(entry) for entry in entries])
+        return (
+            codec.decode_open(body, list[HealthEntry])
+            .map(lambda entries: [parse_entry(entry) for entry in entries])
+            .map_err(lambda error: f'VM list: {error}')
+        )
 
 
 def parse_entry(entry: HealthEntry) -> ListedVm:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,6 +13,9 @@
 import result
 import yarl
 
+from filbertstep import _http_peers
+from filbertstep import _probes
+from filbertstep import _store as _store_client
 from filbertstep import clock
 from filbertstep import codec
 from filbertstep import entry
@@ -219,6 +222,22 @@
         )
 
 
+class TestNodeDocuments(unittest.TestCase):
+    """Documents that the node program reads from others."""
+
+    def test_deep_documents_are_rejected(self) -> None:
+        """Guards against a probe or a peer that ends the task that asks."""
+        # Within the limit of a header line.
+        deep_header = 'JSON {"x":' + '[' * 4000 + ']' * 4000 + '}'
+        self.assertIsNone(_probes.parse_load(deep_header))
+        self.assertIsInstance(
+            _store_client.decode_entry(DEEP_LIST), result.Err
+        )
+        for body in (DEEP_LIST, b'{"x":' + DEEP_LIST + b'}'):
+            decoded = _http_peers.decode_response(200, body)
+            self.assertIsInstance(decoded, result.Err)
+
+
 class TestState(unittest.TestCase):
     """A batch of changes of which one is odd."""
 
--- a/tests/test_vm_list.py
+++ b/tests/test_vm_list.py
@@ -64,8 +64,9 @@
 
         An empty list would mean that no VM exists any more.
         """
-        for text in ('', '{}', '[{"Node": {}}]'):
-            with self.subTest(text=text):
+        deep = '[{"x":' + '[' * 100_000 + ']' * 100_000 + '}]'
+        for text in ('', '{}', '[{"Node": {}}]', deep):
+            with self.subTest(text=text[:20]):
                 self.response_text = text
                 self.assertTrue((await self.vm_list.fetch()).is_err())
         await self.server.close()
