--- a/tests/test_entry_program.py
+++ b/tests/test_entry_program.py
@@ -169,6 +169,28 @@
 
         await self.wait_until(lookup_names_vm)
 
+    async def test_odd_entries_do_not_stop_the_reading(self) -> None:
+        """Guards against an odd entry that ends the task that reads."""
+        deep = b'{"x":' + b'[' * 100_000 + b']' * 100_000 + b'}'
+        no_address = {**adapter_tests.SERVER, 'address': '127.0.0.1:99999'}
+        for number in range(3):
+            for prefix in ('servers', 'vms', 'strikes', 'fleet'):
+                self.store.put(f'{prefix}/odd-{number}', deep)
+            self.store.put(
+                f'servers/unreachable-{number}',
+                json.dumps(no_address).encode(),
+            )
+        self.configure('r2', [KEY, 'added'])
+
+        async def added_key_is_known() -> bool:
+            return (await self.send_request(key='added'))[0] == 200
+
+        await self.wait_until(added_key_is_known)
+        for _ in range(10):
+            self.assertEqual((await self.send_request())[0], 200)
+        kinds = {line['kind'] for line in self.output}
+        self.assertNotIn('internal_error', kinds)
+
     async def test_withdrawn_key_is_refused_on_open_connections(self) -> None:
         """A key must not outlive its withdrawal on an open connection."""
         self.assertEqual((await self.send_request())[0], 200)
