--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -12,7 +12,9 @@
 import msgspec
 import result
 
+from filbertstep import _addresses
 from filbertstep import clock
+from filbertstep import codec
 from filbertstep import steering
 from filbertstep.entry import _contracts
 from filbertstep.entry import _log
@@ -62,7 +64,7 @@
         if change.key.startswith(VM_PREFIX):
             name = change.key[len(VM_PREFIX) :]
             doc = decode_member(change.value)
-            if doc is None:
+            if doc is None or not name:
                 self.live.pop(name, None)
             elif doc['era'] >= change.era or name in self.live:
                 # Otherwise a restored store shows a VM that is gone, or that
@@ -102,10 +104,15 @@
     """Decode the value of a VM's key; None if deleted or unreadable."""
     if value is None:
         return None
-    try:
-        return msgspec.json.decode(value, type=MemberDoc)
-    except msgspec.DecodeError:
+    decoded = codec.decode_open(value, MemberDoc)
+    if isinstance(decoded, result.Err):
         return None
+    doc = decoded.ok_value
+    if not all(
+        _addresses.is_address(doc[field]) for field in ('callers', 'peers')
+    ):
+        return None
+    return doc
 
 
 class Registration:
--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -8,8 +8,10 @@
 import msgspec
 import result
 
+from filbertstep import _decimals
 from filbertstep import _web
 from filbertstep import clock
+from filbertstep import codec
 from filbertstep import steering
 from filbertstep.entry import _contracts
 from filbertstep.entry import _load_exchange
@@ -109,10 +111,10 @@
 
     def handle_tokens(self, body: bytes) -> web.Response:
         """Give tokens of an account that this VM does not need to a peer."""
-        try:
-            doc = msgspec.json.decode(body, type=TokensDoc)
-        except msgspec.DecodeError:
+        decoded = codec.decode_open(body, TokensDoc)
+        if isinstance(decoded, result.Err):
             return web.Response(status=400)
+        doc = decoded.ok_value
         configuration = self.state.configuration
         account = (
             configuration.accounts.get(doc['account'])
@@ -232,7 +234,8 @@
             aiohttp.ClientError,
             OSError,
             TimeoutError,
-            msgspec.DecodeError,
+            ValueError,
+            RecursionError,
         ) as error:
             self.log.write(
                 'tokens_failed', peer=peer, error=type(error).__name__
@@ -243,5 +246,4 @@
 
 def parse_number(request: web.BaseRequest, name: str) -> int:
     """Return a number from the query, 0 if it is missing or invalid."""
-    text = request.query.get(name, '')
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return _decimals.parse_decimal(request.query.get(name, '')) or 0
--- a/filbertstep/platform/_documents.py
+++ b/filbertstep/platform/_documents.py
@@ -1,11 +1,14 @@
 """Decodes the documents that operators and servers write to the store."""
 
 import collections.abc
+import re
 import typing
 
 import msgspec
 import result
 
+from filbertstep import _addresses
+from filbertstep import codec
 from filbertstep import entry
 from filbertstep import steering
 
@@ -20,6 +23,25 @@
 # Value of a rule's ``kind`` that allows retries.
 IDEMPOTENT_KIND: typing.Final = 'idempotent'
 
+# Versions fit into 64 bits, the largest integers that can be encoded.
+VERSION_REGEX: typing.Final = re.compile(r'r([0-9]{1,18})')
+
+# Server ids are sent in a header.
+SERVER_ID_REGEX: typing.Final = re.compile(r'[!-.0-~]+')
+
+# More requests than connections from one address to a server.
+MAX_SLOTS: typing.Final = 65536
+
+# A longer slow start would keep a server from use for good.
+MAX_COLD_LEFT_MS: typing.Final = 24 * 3600 * 1000
+
+# Largest integer of which all JSON implementations keep every digit.
+MAX_EXACT_INTEGER: typing.Final = 2**53
+
+NonEmptyText = typing.Annotated[str, msgspec.Meta(min_length=1)]
+
+ExactInteger = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
+
 
 class SplitDoc(typing.TypedDict):
     """One destination of a rule that splits requests by weight."""
@@ -107,16 +129,18 @@
 class InfoDoc(typing.TypedDict):
     """Properties that do not change while a server runs."""
 
-    service: str
-    zone: str
-    slots: int
+    service: NonEmptyText
+    zone: NonEmptyText
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class StatusDoc(typing.TypedDict):
     """The state of a server and the remaining time of its slow start."""
 
     state: str
-    cold_left_ms: typing.NotRequired[float]
+    cold_left_ms: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_LEFT_MS)]
+    ]
 
 
 class ServerDoc(typing.TypedDict):
@@ -125,20 +149,20 @@
     address: str
     info: InfoDoc
     status: StatusDoc
-    born: typing.NotRequired[int]
+    born: typing.NotRequired[ExactInteger]
 
 
 class ServerCountDoc(typing.TypedDict):
     """The count of what a server wrote since its start."""
 
-    seq_no: int
+    seq_no: ExactInteger
 
 
 class ServerRecencyDoc(typing.TypedDict):
     """The part of a server's entry that orders its values."""
 
     status: ServerCountDoc
-    born: typing.NotRequired[int]
+    born: typing.NotRequired[ExactInteger]
 
 
 class VersionDoc(typing.TypedDict):
@@ -147,19 +171,6 @@
     version: str
 
 
-Document = typing.TypeVar('Document')
-
-
-def decode_document(
-    value: bytes, document_type: type[Document]
-) -> result.Result[Document, str]:
-    """Decode a JSON document; unknown fields are ignored."""
-    try:
-        return result.Ok(msgspec.json.decode(value, type=document_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(str(error))
-
-
 class PlatformDecoder(entry.Decoder):
     """Converts the platform's documents to the types of this project."""
 
@@ -181,12 +192,12 @@
         """Decode a value; the error says why that is impossible."""
         parsed = self.parse_key(key)
         if parsed.kind is entry.KeyKind.CONFIGURATION:
-            return decode_document(value, ConfigurationDoc).and_then(
+            return codec.decode_open(value, ConfigurationDoc).and_then(
                 parse_configuration
             )
         if parsed.kind is entry.KeyKind.EVACUATION:
             return result.Ok(entry.Evacuation(parsed.name))
-        return decode_document(value, ServerDoc).and_then(
+        return codec.decode_open(value, ServerDoc).and_then(
             lambda doc: parse_server(parsed.name, doc)
         )
 
@@ -195,14 +206,14 @@
         kind = self.parse_key(key).kind
         if kind is entry.KeyKind.CONFIGURATION:
             return (
-                decode_document(value, VersionDoc)
+                codec.decode_open(value, VersionDoc)
                 .and_then(lambda doc: parse_version(doc['version']))
                 .map(lambda version: entry.Recency(0, version))
                 .ok()
             )
         if kind is entry.KeyKind.SERVER:
             return (
-                decode_document(value, ServerRecencyDoc)
+                codec.decode_open(value, ServerRecencyDoc)
                 .map(
                     lambda doc: entry.Recency(
                         doc.get('born', 0), doc['status']['seq_no']
@@ -220,8 +231,9 @@
     draining = DRAINING_BY_STATE.get(doc['status']['state'])
     if draining is None:
         return result.Err('unknown server state')
-    host, _, port = doc['address'].rpartition(':')
-    if not host or not port.isdigit():
+    if not SERVER_ID_REGEX.fullmatch(server_id):
+        return result.Err('server id cannot be sent in a header')
+    if not _addresses.is_address(doc['address']):
         return result.Err('server address is not host:port')
     return result.Ok(
         steering.ServerEntry(
@@ -239,12 +251,12 @@
 
 def parse_version(version: str) -> result.Result[int, str]:
     """Return the number of a configuration's version."""
-    digits = version.removeprefix('r')
-    if not digits.isdigit():
+    match = VERSION_REGEX.fullmatch(version)
+    if match is None:
         return result.Err(
             'configuration version is not r followed by a number'
         )
-    return result.Ok(int(digits))
+    return result.Ok(int(match[1]))
 
 
 def parse_configuration(
--- a/filbertstep/platform/_store.py
+++ b/filbertstep/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store."""
 
 import base64
+import binascii
 import collections.abc
 import typing
 
@@ -8,6 +9,8 @@
 import msgspec
 import result
 
+from filbertstep import _decimals
+from filbertstep import codec
 from filbertstep import entry
 
 RANGE_PATH: typing.Final = '/filbertstep/kv-range'
@@ -39,6 +42,9 @@
     503: entry.StoreFault.REFUSED,
 }
 
+# Revisions are 64-bit integers.
+MAX_REVISION: typing.Final = 2**63 - 1
+
 
 class ItemDoc(typing.TypedDict):
     """An item, or its deletion: ``deleted`` and no ``value``.
@@ -47,15 +53,18 @@
     """
 
     key: str
-    revision: int
+    revision: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
     value: typing.NotRequired[str]
     deleted: typing.NotRequired[bool]
 
 
 class RangeDoc(typing.TypedDict):
-    """A page of items and the current revision of the whole store."""
+    """A page of items and the current revision of the whole store.
+
+    The items are decoded one by one, so that each is independent of the rest.
+    """
 
-    items: list[ItemDoc]
+    items: list[msgspec.Raw]
     store_revision: int
     has_more: typing.NotRequired[bool]
 
@@ -66,7 +75,7 @@
     The next watch continues after ``store_revision``.
     """
 
-    events: list[ItemDoc]
+    events: list[msgspec.Raw]
     store_revision: int
 
 
@@ -86,22 +95,33 @@
 Document = typing.TypeVar('Document')
 
 
-def parse_era(header: str) -> int | None:
-    """Return the era that an answer names, None if it names none."""
-    return int(header) if header.isascii() and header.isdigit() else None
+def decode_change(raw: msgspec.Raw, era: int) -> entry.Change | None:
+    """Decode a change, None if it names no key and revision.
 
-
-def decode_change(item: ItemDoc, era: int) -> entry.Change:
-    """Decode a change.
-
-    Raises ValueError if the value is not valid Base64.
+    A value that is not valid Base64 becomes empty bytes, which are no document
+    of any kind.
     """
+    decoded = codec.decode_open(raw, ItemDoc)
+    if isinstance(decoded, result.Err):
+        return None
+    item = decoded.ok_value
     value = None
     if not item.get('deleted'):
-        value = base64.b64decode(item.get('value', ''), validate=True)
+        try:
+            value = base64.b64decode(item.get('value', ''), validate=True)
+        except (binascii.Error, ValueError):
+            value = b''
     return entry.Change(item['key'], item['revision'], value, era)
 
 
+def decode_changes(
+    rows: collections.abc.Iterable[msgspec.Raw], era: int
+) -> list[entry.Change]:
+    """Decode all changes that can be decoded."""
+    changes = [decode_change(row, era) for row in rows]
+    return [change for change in changes if change is not None]
+
+
 class PlatformStoreClient(entry.StoreClient):
     """Client of the store at a URL; closes the session at the end."""
 
@@ -141,7 +161,9 @@
                     sock_read=wait_s + IDLE_TIMEOUT_S,
                 ),
             ) as response:
-                era = parse_era(response.headers.get(ERA_HEADER, ''))
+                era = _decimals.parse_decimal(
+                    response.headers.get(ERA_HEADER, '')
+                )
                 self.era = max(self.era, era or 0)
                 content = await response.read()
                 if era is not None and era < self.era:
@@ -150,14 +172,11 @@
                     return FAULT_BY_STATUS.get(
                         response.status, entry.StoreFault.UNAVAILABLE
                     )
-            return msgspec.json.decode(content or b'{}', type=document_type)
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            msgspec.DecodeError,
-        ):
+        except (aiohttp.ClientError, OSError, TimeoutError):
             return entry.StoreFault.UNAVAILABLE
+        return codec.decode_open(content or b'{}', document_type).unwrap_or(
+            entry.StoreFault.UNAVAILABLE
+        )
 
     async def list(self, prefix: str) -> entry.StoreResult[entry.ChangeBatch]:
         """Read all keys under a prefix, page by page.
@@ -181,19 +200,18 @@
                 start = entry.Position(self.era, page['store_revision'])
             if start.era != self.era:
                 return result.Err(entry.StoreFault.HISTORY_GONE)
-            try:
-                changes += [
-                    decode_change(item, start.era) for item in page['items']
-                ]
-            except ValueError:
-                return result.Err(entry.StoreFault.UNAVAILABLE)
+            page_changes = decode_changes(page['items'], start.era)
+            changes += page_changes
             if not page.get('has_more') or not page['items']:
                 return result.Ok(
                     entry.ChangeBatch(
                         tuple(changes), start.revision, start.era
                     )
                 )
-            after = page['items'][-1]['key']
+            if not page_changes:
+                # The key after which the next page begins is unknown.
+                return result.Err(entry.StoreFault.UNAVAILABLE)
+            after = page_changes[-1].key
 
     async def watch(
         self, prefix: str, after: entry.Position, wait_s: float
@@ -215,12 +233,7 @@
         if self.era != after.era:
             # The revision may exist again, after other changes.
             return result.Err(entry.StoreFault.HISTORY_GONE)
-        try:
-            changes = tuple(
-                decode_change(item, after.era) for item in doc['events']
-            )
-        except ValueError:
-            return result.Err(entry.StoreFault.HISTORY_GONE)
+        changes = tuple(decode_changes(doc['events'], after.era))
         return result.Ok(
             entry.ChangeBatch(changes, doc['store_revision'], after.era)
         )
