Stop using servers that say that they are leaving

A server that leaves now says so in all its answers (Server-Leaving: 1). A request that a caller sends more than drain_ms after such an answer must not reach that server, whether or not the VM is in touch with the store. Until now only the server's entry in the store counted, which may arrive late, be out of reach, expire and come back, or say ready again.

What a server says about itself is now kept beside its entry, by its incarnation: a later entry of the same incarnation does not undo it, nor does an entry that was removed and is back, or one with another address. A new incarnation starts without it. The announcements of the last 1024 removed servers are kept, because answers to them may still arrive. All answers count, also those of attempts whose answers no caller gets. An answer with status 421 comes from another server at the address, so it says nothing about the expected one.

Placement, retries, hedges, the queue and the split over regions all ask ServerTable.usable_servers and need no change. Requests in progress finish.

--- a/filbertstep/entry/__init__.py
+++ b/filbertstep/entry/__init__.py
@@ -15,6 +15,7 @@
 from filbertstep.entry._contracts import LookupQuery as LookupQuery
 from filbertstep.entry._contracts import ParsedKey as ParsedKey
 from filbertstep.entry._contracts import Platform as Platform
+from filbertstep.entry._contracts import ServerNotice as ServerNotice
 from filbertstep.entry._contracts import StoreClient as StoreClient
 from filbertstep.entry._contracts import StoreFault as StoreFault
 from filbertstep.entry._contracts import StoreResult as StoreResult
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -150,6 +150,15 @@
     availability_zone: str
 
 
+class ServerNotice(typing.NamedTuple):
+    """What a backend server's answer says about the server itself.
+
+    ``leaving`` is set once the server is about to stop.
+    """
+
+    leaving: bool = False
+
+
 class WireFormat(abc.ABC):
     """Names and documents on the wire to callers and backend servers.
 
@@ -187,6 +196,14 @@
         ``addresses`` are valid for ``ttl_s`` seconds.
         """
 
+    @abc.abstractmethod
+    def parse_server_notice(
+        self,
+        status: int,
+        headers: collections.abc.Iterable[tuple[str, str]],
+    ) -> ServerNotice:
+        """Return what the status and headers of a server's answer tell."""
+
 
 class EntrySettings(typing.NamedTuple):
     """Checked settings of the entry program.
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -231,6 +231,12 @@
         """Update what is known of the server from an outcome, and log it."""
         server, now = candidate.server, self.clock.now()
         took_s = now - sent_at
+        self.record_notice(
+            server,
+            self.wire_format.parse_server_notice(
+                outcome.status, outcome.headers
+            ),
+        )
         load_report = find_header(outcome, self.wire_format.load_header)
         load = parse_load(load_report or '')
         if load is not None:
@@ -279,6 +285,20 @@
             message=outcome.message,
         )
 
+    def record_notice(
+        self, server: steering.ServerRecord, notice: _contracts.ServerNotice
+    ) -> None:
+        """Record what a server said about itself; log changes of state."""
+        if notice.leaving and not server.announcements.leaving:
+            server.announcements.leaving = True
+            self.counters.events.labels('server_leaving').inc()
+            self.state.log.write(
+                'server_leaving',
+                server=server.entry.server_id,
+                service=server.entry.service,
+                draining=server.entry.draining,
+            )
+
 
 def is_success(outcome: delivery.ForwardOutcome) -> bool:
     """Return whether a server ran a request and reported no own failure."""
--- a/filbertstep/platform/_adapter.py
+++ b/filbertstep/platform/_adapter.py
@@ -1,6 +1,7 @@
 """Implementation of the entry program's platform interface."""
 
 import collections.abc
+import typing
 
 import aiohttp
 import result
@@ -10,6 +11,13 @@
 from filbertstep.platform import _settings
 from filbertstep.platform import _store
 
+# A server that a request was not meant for answers with this status.  The
+# answer says nothing about the expected server.
+MISDIRECTED_STATUS: typing.Final = 421
+
+# Value of the header with which a server announces that it is leaving.
+LEAVING_VALUE: typing.Final = '1'
+
 
 class PlatformWireFormat(entry.WireFormat):
     """Header names, paths and look-up format of the platform."""
@@ -26,6 +34,7 @@
     load_header = 'X-Server-Load'
     retry_after_header = 'Retry-After'
     affinity_cookie = 'X-Affinity-Key'
+    leaving_header = 'Server-Leaving'
 
     def parse_lookup(
         self, query: collections.abc.Mapping[str, str]
@@ -42,6 +51,22 @@
         """Return the JSON body of a look-up's answer."""
         return {'addresses': list(addresses), 'ttl_s': ttl_s}
 
+    def parse_server_notice(
+        self,
+        status: int,
+        headers: collections.abc.Iterable[tuple[str, str]],
+    ) -> entry.ServerNotice:
+        """Return what an answer says about the server that sent it."""
+        if status == MISDIRECTED_STATUS:
+            return entry.ServerNotice()
+        return entry.ServerNotice(
+            leaving=any(
+                name.lower() == self.leaving_header.lower()
+                and value.strip() == LEAVING_VALUE
+                for name, value in headers
+            )
+        )
+
 
 class PlatformAdapter(entry.Platform):
     """Settings, store client, decoder and wire format of the platform."""
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -42,19 +42,38 @@
 INITIAL_PAUSE_S: typing.Final = 0.5
 MAX_PAUSE_S: typing.Final = 4.0
 
+# Removed servers whose announcements are kept, since the store may list them
+# again.
+MAX_REMOVED_SERVERS: typing.Final = 1024
+
 # Limits of the slowdown.
 MIN_SLOWDOWN: typing.Final = 0.5
 MAX_SLOWDOWN: typing.Final = 20.0
 
 
+class Announcements:
+    """What an incarnation of a server said about itself in its answers.
+
+    It remains valid whatever the store says: an entry may be older.
+    """
+
+    def __init__(self) -> None:
+        self.leaving = False
+
+
 class ServerRecord:
     """One backend server.  Times are on the clock of this VM."""
 
     def __init__(
-        self, entry: _model.ServerEntry, region: str, now: float
+        self,
+        entry: _model.ServerEntry,
+        region: str,
+        announcements: Announcements,
+        now: float,
     ) -> None:
         self.entry = entry
         self.region = region
+        self.announcements = announcements
         self.cold_until = now + entry.cold_left_s
         # Time of the last request sent to the server while it was cold.
         self.last_cold_sent_at = float('-inf')
@@ -164,6 +183,10 @@
         """Return whether the server is in its slow start."""
         return now < self.cold_until
 
+    def is_leaving(self) -> bool:
+        """Return whether the server announced anywhere that it will stop."""
+        return self.entry.draining or self.announcements.leaving
+
 
 class ServerTable:
     """Records of all backend servers, by id and by service.
@@ -176,12 +199,17 @@
         self.by_id: dict[str, ServerRecord] = {}
         self.by_service: dict[str, dict[str, ServerRecord]] = {}
         self.evacuated_zones: set[str] = set()
+        # Announcements of removed servers by id and incarnation, oldest first.
+        # Requests that are still in progress there may add to them.
+        self.removed_announcements: collections.OrderedDict[
+            tuple[str, int], Announcements
+        ] = collections.OrderedDict()
 
     def put(self, entry: _model.ServerEntry, now: float) -> None:
         """Add or update a server.
 
         The measurements are discarded if its incarnation, service or address
-        has changed.
+        has changed; its announcements only with the incarnation.
         """
         server = self.by_id.get(entry.server_id)
         if server is not None and (
@@ -193,8 +221,11 @@
             server = None
         if server is None:
             region = self.region_by_zone.get(entry.availability_zone, '')
+            announcements = self.removed_announcements.pop(
+                (entry.server_id, entry.incarnation), None
+            )
             server = self.by_id[entry.server_id] = ServerRecord(
-                entry, region, now
+                entry, region, announcements or Announcements(), now
             )
             self.by_service.setdefault(entry.service, {})[entry.server_id] = (
                 server
@@ -206,8 +237,13 @@
     def remove(self, server_id: str) -> None:
         """Remove a server."""
         server = self.by_id.pop(server_id, None)
-        if server is not None:
-            del self.by_service[server.entry.service][server_id]
+        if server is None:
+            return
+        del self.by_service[server.entry.service][server_id]
+        key = (server_id, server.entry.incarnation)
+        self.removed_announcements[key] = server.announcements
+        if len(self.removed_announcements) > MAX_REMOVED_SERVERS:
+            self.removed_announcements.popitem(last=False)
 
     def evacuate(self, availability_zone: str) -> None:
         """Send no more requests to an availability zone."""
@@ -247,7 +283,7 @@
         return [
             server
             for server in self.by_service.get(service, {}).values()
-            if not server.entry.draining
+            if not server.is_leaving()
             and server.entry.availability_zone not in self.evacuated_zones
             and (allowed_regions is None or server.region in allowed_regions)
         ]
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -40,6 +40,8 @@
         self.outcomes = list(outcomes)
         self.attempts: list[delivery.Attempt] = []
         self.cancelled_attempts = 0
+        # Times in seconds until the next outcomes; without one, at once.
+        self.delays_s: list[float] = []
 
     async def send(
         self, attempt: delivery.Attempt, before_send: delivery.BeforeSend
@@ -47,6 +49,8 @@
         """Return the next outcome, a 200 answer when none is left."""
         self.attempts.append(attempt)
         outcome = self.outcomes.pop(0) if self.outcomes else answered(200)
+        if self.delays_s:
+            await asyncio.sleep(self.delays_s.pop(0))
         if isinstance(outcome, delivery.ForwardOutcome):
             return outcome
         try:
@@ -57,20 +61,29 @@
         return answered(200)
 
 
-def answered(status: int) -> delivery.ForwardOutcome:
+def answered(
+    status: int, *extra_headers: tuple[str, str]
+) -> delivery.ForwardOutcome:
     """Return the outcome of a server's answer with this status."""
     headers = (('X-Server-Seal', 'seal'), ('X-Server-Load', '1,0,3'))
     return delivery.ForwardOutcome(
-        Kind.ANSWERED, True, status, headers, b'body'
+        Kind.ANSWERED, True, status, headers + extra_headers, b'body'
     )
 
 
+def shed(status: int, *headers: tuple[str, str]) -> delivery.ForwardOutcome:
+    """Return the outcome of an answer that says 'not run'."""
+    return delivery.ForwardOutcome(Kind.SHED, True, status, headers)
+
+
 def no_answer(kind: Kind, sent: bool = True) -> delivery.ForwardOutcome:
     """Return an outcome of this kind without an answer."""
     return delivery.ForwardOutcome(kind, sent, message='lost')
 
 
-SHED: typing.Final = delivery.ForwardOutcome(Kind.SHED, True, 503)
+SHED: typing.Final = shed(503)
+
+LEAVING: typing.Final = ('Server-Leaving', '1')
 
 
 class RequestTestCase(unittest.IsolatedAsyncioTestCase):
@@ -497,6 +510,112 @@
         self.assertEqual(reply.status, 503)
 
 
+class TestLeavingServers(RequestTestCase):
+    """Servers that say in their answers that they are leaving."""
+
+    def sent_to(self) -> list[str]:
+        """Return the ids of the servers to which requests were sent."""
+        return [
+            dict(attempt.headers)['X-Expect-Instance']
+            for attempt in self.forwarder.attempts
+        ]
+
+    def log_lines(self, kind: str) -> list[dict[str, typing.Any]]:
+        """Return the log lines of a kind; Any: values of several types."""
+        lines = bytes(self.log.handler.pending).decode().splitlines()
+        return [
+            line for line in map(json.loads, lines) if line['kind'] == kind
+        ]
+
+    async def test_server_gets_no_requests_after_it_said_so(self) -> None:
+        """Guards against requests to a server that announced its end.
+
+        The store may list it as ready for longer, or be out of reach.
+        """
+        for name, outcome in (
+            ('success', answered(200, LEAVING)),
+            ('own failure', answered(500, LEAVING)),
+            ('not run', shed(503, LEAVING)),
+            ('other case', answered(200, ('server-leaving', '1'))),
+            (
+                'streamed',
+                answered(200, LEAVING)._replace(stream=mock.Mock()),
+            ),
+        ):
+            with self.subTest(name=name):
+                self.build(outcome, idempotent=False, max_attempts=1)
+                await self.serve()
+                (leaving,) = self.sent_to()
+                for number in range(12):
+                    await self.serve(affinity_key=str(number))
+                self.assertNotIn(leaving, self.sent_to()[1:])
+                self.assertEqual(len(self.forwarder.attempts), 13)
+                (line,) = self.log_lines('server_leaving')
+                self.assertEqual(line['server'], leaving)
+
+    async def test_retry_goes_to_another_server(self) -> None:
+        """Guards against a retry at a server that is leaving."""
+        self.build(shed(503, LEAVING), shed(503, LEAVING), max_attempts=3)
+        self.assertEqual((await self.serve()).status, 200)
+        self.assertEqual(len(set(self.sent_to())), 3)
+        for _ in range(5):
+            await self.serve()
+        self.assertEqual(set(self.sent_to()[2:]), {self.sent_to()[2]})
+
+    async def test_unused_answer_of_a_hedged_request_counts(self) -> None:
+        """Guards against dropping what the slower of two servers said."""
+        self.build(answered(500, LEAVING), target_s=0.1)
+        self.forwarder.delays_s = [0.4, 0.3]
+        await self.serve()
+        first, second = self.sent_to()
+        self.assertNotEqual(first, second)
+        self.assertTrue(self.state.servers.by_id[first].announcements.leaving)
+
+    async def test_misdirected_answer_says_nothing(self) -> None:
+        """Guards against giving up a server for what another one said.
+
+        The answer comes from another server that has the address now.
+        """
+        for outcome in (answered(421, LEAVING), shed(421, LEAVING)):
+            self.build(outcome)
+            self.assertEqual((await self.serve()).status, 200)
+            self.assertEqual(self.log_lines('server_leaving'), [])
+            for server in self.state.servers.by_id.values():
+                self.assertFalse(server.announcements.leaving)
+
+    async def test_requests_in_progress_finish(self) -> None:
+        """Guards against ending requests at a server that still serves."""
+        self.build(0.2, answered(200, LEAVING), idempotent=False)
+        for name in ('s1', 's2'):
+            self.state.servers.remove(name)
+        running = asyncio.ensure_future(self.serve())
+        await asyncio.sleep(0.05)
+        self.assertEqual((await self.serve()).status, 200)
+        refused = await self.serve()
+        self.assertEqual(self.kind(refused), errors.ErrorKind.NO_ROOM)
+        self.assertEqual((await running).status, 200)
+        self.assertEqual(len(self.forwarder.attempts), 2)
+
+    async def test_waiting_request_is_not_sent_there(self) -> None:
+        """Guards against dispatching a queued request to such a server."""
+        self.build(target_s=4.0, timeout_s=10.0)
+        for server in self.state.servers.by_id.values():
+            server.in_progress = 3
+        waiting = asyncio.ensure_future(
+            self.serve(deadline=self.clock.now() + 10)
+        )
+        await asyncio.sleep(0.02)
+        leaving = self.state.servers.by_id['s0']
+        leaving.announcements.leaving = True
+        leaving.in_progress = 0
+        self.state.wait_queue.dispatch('orders', self.clock.now())
+        self.assertFalse(waiting.done())
+        self.state.servers.by_id['s1'].in_progress = 2
+        self.state.wait_queue.dispatch('orders', self.clock.now())
+        self.assertEqual((await waiting).status, 200)
+        self.assertEqual(self.sent_to(), ['s1'])
+
+
 class TestQuarantine(RequestTestCase):
     """A request that crashes each server that runs it."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -219,6 +219,27 @@
     )
 
 
+class TestServerNotices(unittest.TestCase):
+    """What the answers of a server say about it."""
+
+    def test_leaving_is_announced_by_a_header(self) -> None:
+        """Guards against missing, or misreading, that a server leaves."""
+        wire_format = platform.PlatformAdapter('').wire_format()
+        for status, headers, expected in (
+            (200, [('Server-Leaving', '1')], True),
+            (503, [('server-leaving', ' 1 ')], True),
+            (200, [('Server-Leaving', '0'), ('Server-Leaving', '1')], True),
+            (200, [('Server-Leaving', '0')], False),
+            (200, [('Server-Leaving', '')], False),
+            (200, [('X-Other', '1')], False),
+            (200, [], False),
+            (421, [('Server-Leaving', '1')], False),
+        ):
+            with self.subTest(status=status, headers=headers):
+                notice = wire_format.parse_server_notice(status, headers)
+                self.assertEqual(notice.leaving, expected)
+
+
 class TestSettings(unittest.TestCase):
     """Parsing of the settings file that the platform renders."""
 
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -227,6 +227,58 @@
         placement.table.evacuate('a-2')
         self.assertIsNone(placement.best_candidate(build_query(), 100.0))
 
+    def test_a_store_entry_does_not_undo_what_a_server_said(self) -> None:
+        """Guards against requests to a server that said that it leaves.
+
+        Its entry may say ready for longer, expire and be written again, or
+        come back with a restored store.
+        """
+        ready = samples.server('s0')
+        moved = samples.server('s0', address='10.0.0.9:80')
+        for name, entries in (
+            ('ready again', [ready]),
+            ('expired, then back', [None, ready]),
+            ('another address', [moved]),
+            ('draining, then ready', [ready._replace(draining=True), ready]),
+            ('older entry', [ready._replace(incarnation=2), ready]),
+        ):
+            with self.subTest(name=name):
+                placement = self.build_placement(ready)
+                table = placement.table
+                table.by_id['s0'].announcements.leaving = True
+                for entry in entries:
+                    if entry is None:
+                        table.remove('s0')
+                    else:
+                        table.put(entry, 99.0)
+                self.assertIsNone(
+                    placement.best_candidate(build_query(), 100.0)
+                )
+
+    def test_a_late_answer_counts_for_an_entry_that_is_back(self) -> None:
+        """Guards against losing what a server said while it had no entry."""
+        placement = self.build_placement(samples.server('s0'))
+        server = placement.table.by_id['s0']
+        placement.table.remove('s0')
+        server.announcements.leaving = True
+        placement.table.put(samples.server('s0'), 99.0)
+        self.assertIsNone(placement.best_candidate(build_query(), 100.0))
+
+    def test_a_new_incarnation_is_not_leaving(self) -> None:
+        """Guards against never using a server that started again."""
+        placement = self.build_placement(samples.server('s0'))
+        placement.table.by_id['s0'].announcements.leaving = True
+        placement.table.put(samples.server('s0', incarnation=2), 99.0)
+        self.assertIsNotNone(placement.best_candidate(build_query(), 100.0))
+
+    def test_memory_for_removed_servers_is_bounded(self) -> None:
+        """Guards against memory that grows with each replaced server."""
+        table = samples.server_table()
+        for number in range(2000):
+            table.put(samples.server(f's{number}'), 1.0)
+            table.remove(f's{number}')
+        self.assertLessEqual(len(table.removed_announcements), 1024)
+
     def test_an_unused_server_gets_requests_if_first_in_rank(self) -> None:
         """Guards against servers that get no requests after they join."""
         placement = self.build_placement(
--- a/tests/test_steering_regions.py
+++ b/tests/test_steering_regions.py
@@ -212,6 +212,19 @@
         self.run_step(1.2)
         self.assertGreaterEqual(split.remote_share, 0.7)
 
+    def test_slots_of_leaving_servers_are_no_room(self) -> None:
+        """Guards against splits that count servers which take nothing."""
+        self.table.by_id['b0'].announcements.leaving = True
+        slots = self.splitter.slots_by_region('orders')
+        self.assertEqual(slots, {'a': 6, 'b': 21, 'c': 30})
+        for number in range(10):
+            self.table.by_id[f'c{number}'].announcements.leaving = True
+        split = self.splitter.service_split('orders', 0.0)
+        split.remote_share = 0.5
+        self.assertEqual(
+            set(self.splitter.region_weights('orders', split)), {'a', 'b'}
+        )
+
     def test_load_of_other_vms_shifts_requests(self) -> None:
         """Guards against a full region that looks idle to each VM.
 
