Send nothing to servers that asked for a pause

A server that turns a request away with 503 may add Retry-After: it wants nothing from this VM for so long. At most two requests may reach it from half a second after that answer to the end of the pause. Until now the header was ignored; a 503 only raised the server's cost, and a group of full servers got each request of a burst.

A pause is kept beside the server's entry, like the word that it leaves, for one incarnation. Placement, retries and hedges pass over the server until the pause ends. A request that was still connecting when the answer came is withheld by the check before the send, and goes to another server; this is no failure of the first. The pause is this VM's alone.

When all servers that could take a request have asked for a pause, it is refused at once, also while it waits in the queue, and Retry-After is the shortest of the pauses, 2 s at most. A queued request that has no server left at all is refused at once too; before, it waited in vain. It first looks at other regions. Since pauses end, only the overflow allowance leaves a region whose servers all pause, and for the split they count as full instead of as lost: an overload must not move all requests of a region from one window to the next.

The value is decoded in the adapter: a decimal number of seconds on a 503. Zero, negative numbers, NaN, dates and other text ask for nothing. A value above 300 s counts as 300 s, so that a faulty server does not remove itself for hours by one value.

--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -153,10 +153,12 @@
 class ServerNotice(typing.NamedTuple):
     """What a backend server's answer says about the server itself.
 
-    ``leaving`` is set once the server is about to stop.
+    ``leaving`` is set once the server is about to stop.  ``pause_s`` is the
+    time in seconds for which it wants no requests from this VM.
     """
 
     leaving: bool = False
+    pause_s: float = 0.0
 
 
 class WireFormat(abc.ABC):
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -277,39 +277,63 @@
         Returns the reserved candidate, or a failure reply if no slot becomes
         free in time.
         """
-        state, now = self.state, self.clock.now()
-        best, query = self.find_candidate(admitted, query, now)
-        time_left_s = admitted.deadline - now
-        if best is None:
-            return _messages.failure_reply(
-                ErrorKind.NO_ROOM,
-                'no server can take the request',
-                NO_SERVER_RETRY_AFTER_S,
-            )
-        if time_left_s < MIN_ATTEMPT_S:
-            return _messages.failure_reply(
-                ErrorKind.NO_ROOM,
-                'no time is left',
-                _messages.MIN_RETRY_AFTER_S,
-            )
-        if best.can_send_now and not state.wait_queue.length(query.service):
-            steering.reserve_slot(best, now)
-            return best
-        target = admitted.call.arrived_at + admitted.route.target_s
+        state = self.state
         max_wait_s = max_slot_wait_s(admitted)
-        if not best.can_send_now and best.slot_wait_s > max_wait_s:
-            return self.refuse_no_slot(best.slot_wait_s)
+        wait_until = min(
+            self.clock.now() + max_wait_s, admitted.deadline - MIN_ATTEMPT_S
+        )
+        while True:
+            now = self.clock.now()
+            best, placed_query = self.find_candidate(admitted, query, now)
+            if best is None:
+                return self.refuse_no_server(admitted, now)
+            if admitted.deadline - now < MIN_ATTEMPT_S:
+                return _messages.failure_reply(
+                    ErrorKind.NO_ROOM,
+                    'no time is left',
+                    _messages.MIN_RETRY_AFTER_S,
+                )
+            if best.can_send_now and not state.wait_queue.length(
+                query.service
+            ):
+                steering.reserve_slot(best, now)
+                return best
+            if not best.can_send_now and best.slot_wait_s > max_wait_s:
+                return self.refuse_no_slot(best.slot_wait_s)
+            reserved = await self.wait_for_slot(
+                admitted, placed_query, wait_until, now
+            )
+            if reserved is not None:
+                return reserved
+            if self.clock.now() >= wait_until:
+                return self.refuse_no_slot(best.slot_wait_s)
+            # No server of the query wants the request any more, but those of
+            # another region may.
+
+    async def wait_for_slot(
+        self,
+        admitted: _messages.Admitted,
+        query: steering.PlacementQuery,
+        wait_until: float,
+        now: float,
+    ) -> steering.Candidate | None:
+        """Wait in the queue of the service for a slot.
+
+        Returns the reserved candidate, or None if there is none until
+        ``wait_until``, or if no server wants any request.
+        """
+        state = self.state
         waiter = steering.WaitingRequest(
             query,
             effective_priority(admitted),
             now,
-            target,
-            min(now + max_wait_s, admitted.deadline - MIN_ATTEMPT_S),
+            admitted.call.arrived_at + admitted.route.target_s,
+            wait_until,
         )
         state.wait_queue.add(waiter)
         state.wait_queue.dispatch(query.service, now)
         try:
-            reserved = await waiter.future
+            return await waiter.future
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.cancelled():
                 abandoned = waiter.future.result()
@@ -318,9 +342,6 @@
             raise
         finally:
             state.wait_queue.discard(waiter)
-        if reserved is None:
-            return self.refuse_no_slot(best.slot_wait_s)
-        return reserved
 
     def find_candidate(
         self,
@@ -332,7 +353,8 @@
 
         Servers of the request's region are preferred.  Another region is used
         if this one has no usable server left, or, for a limited number of
-        requests, if the wait for a slot here is too long.
+        requests, if the wait for a slot here is too long or all servers here
+        asked for a pause.
         """
         placement = self.state.placement
         max_wait_s = max_slot_wait_s(admitted)
@@ -347,16 +369,47 @@
             return best, query
         anywhere = query._replace(region=None)
         elsewhere = placement.best_candidate(anywhere, now, max_wait_s)
+        # Pauses end, so they must not move all requests of a region at once.
+        limited = best is not None or (
+            now < placement.accepting_from(query, now) < float('inf')
+        )
         if elsewhere is None or (
             best is not None and not elsewhere.can_send_now
         ):
             return best, query
-        if best is not None and not self.state.regions.try_overflow(
-            query.service, now
-        ):
+        if limited and not self.state.regions.try_overflow(query.service, now):
             return best, query
         return elsewhere, anywhere
 
+    def refuse_no_server(
+        self, admitted: _messages.Admitted, now: float
+    ) -> _messages.Reply:
+        """Return the failure reply for a request that no server can take."""
+        pause_s = self.remaining_pause_s(admitted, now)
+        if not 0.0 < pause_s < float('inf'):
+            return _messages.failure_reply(
+                ErrorKind.NO_ROOM,
+                'no server can take the request',
+                NO_SERVER_RETRY_AFTER_S,
+            )
+        return _messages.failure_reply(
+            ErrorKind.NO_ROOM,
+            'all servers asked for a pause',
+            _messages.clamp_retry_after(pause_s),
+        )
+
+    def remaining_pause_s(
+        self, admitted: _messages.Admitted, now: float
+    ) -> float:
+        """Return the shortest pause that the servers of a request asked for.
+
+        It is 0 if one of them asked for none, and infinite without servers.
+        """
+        query = steering.PlacementQuery(
+            admitted.route, admitted.service, '', admitted.allowed_regions
+        )
+        return self.state.placement.accepting_from(query, now) - now
+
     def refuse_no_slot(self, slot_wait_s: float) -> _messages.Reply:
         """Return the failure reply for a request without a slot in time."""
         return _messages.failure_reply(
@@ -431,7 +484,9 @@
             return _messages.failure_reply(
                 ErrorKind.NO_ROOM,
                 'the servers that were tried did not take the request',
-                _messages.MIN_RETRY_AFTER_S,
+                _messages.clamp_retry_after(
+                    self.remaining_pause_s(admitted, self.clock.now())
+                ),
             )
         last = attempts[-1].outcome
         if last.kind is OutcomeKind.TIMED_OUT:
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -4,6 +4,7 @@
 import typing
 
 from filbertstep import delivery
+from filbertstep import errors
 from filbertstep import metrics
 from filbertstep import steering
 from filbertstep.entry import _contracts
@@ -192,7 +193,9 @@
         if not admitted.route.idempotent:
             self.non_idempotent_in_flight.add(attempt.request_id)
         try:
-            outcome = await self.forwarder.send(attempt, lambda: None)
+            outcome = await self.forwarder.send(
+                attempt, lambda: self.check_pause(server)
+            )
         finally:
             self.non_idempotent_in_flight.discard(attempt.request_id)
         self.record_outcome(
@@ -200,6 +203,24 @@
         )
         return FinishedAttempt(candidate, outcome)
 
+    def check_pause(
+        self, server: steering.ServerRecord
+    ) -> errors.Failure | None:
+        """Return a failure if the server wants no requests any more.
+
+        It may have asked for a pause while this VM connected to it.
+        """
+        now = self.clock.now()
+        if not server.has_requested_pause(now):
+            return None
+        return errors.Failure(
+            errors.ErrorKind.NO_ROOM,
+            'the server asked for a pause',
+            _messages.clamp_retry_after(
+                server.announcements.pause_until - now
+            ),
+        )
+
     def server_headers(
         self, admitted: _messages.Admitted, server: steering.ServerRecord
     ) -> tuple[tuple[str, str], ...]:
@@ -236,6 +257,7 @@
             self.wire_format.parse_server_notice(
                 outcome.status, outcome.headers
             ),
+            now,
         )
         load_report = find_header(outcome, self.wire_format.load_header)
         load = parse_load(load_report or '')
@@ -263,7 +285,10 @@
                 server.record_success(server.slowdown, now)
         elif outcome.kind is OutcomeKind.SHED:
             server.record_shed(now)
-        elif outcome.kind is not OutcomeKind.CANCELLED:
+        elif (
+            outcome.kind is not OutcomeKind.CANCELLED
+            and outcome.failure is None
+        ):
             server.record_failure(now, outcome.kind is OutcomeKind.NOT_SENT)
         name = outcome.kind.name.lower()
         self.counters.events.labels(f'try_{name}').inc()
@@ -286,7 +311,10 @@
         )
 
     def record_notice(
-        self, server: steering.ServerRecord, notice: _contracts.ServerNotice
+        self,
+        server: steering.ServerRecord,
+        notice: _contracts.ServerNotice,
+        now: float,
     ) -> None:
         """Record what a server said about itself; log changes of state."""
         if notice.leaving and not server.announcements.leaving:
@@ -298,6 +326,18 @@
                 service=server.entry.service,
                 draining=server.entry.draining,
             )
+        if notice.pause_s > 0:
+            was_paused = server.has_requested_pause(now)
+            server.announcements.request_pause(notice.pause_s, now)
+            if not was_paused:
+                self.counters.events.labels('server_paused').inc()
+                self.state.log.write(
+                    'server_paused',
+                    server=server.entry.server_id,
+                    service=server.entry.service,
+                    requested_s=notice.pause_s,
+                    until=round(server.announcements.pause_until, 3),
+                )
 
 
 def is_success(outcome: delivery.ForwardOutcome) -> bool:
--- a/filbertstep/platform/_adapter.py
+++ b/filbertstep/platform/_adapter.py
@@ -1,6 +1,7 @@
 """Implementation of the entry program's platform interface."""
 
 import collections.abc
+import re
 import typing
 
 import aiohttp
@@ -18,6 +19,11 @@
 # Value of the header with which a server announces that it is leaving.
 LEAVING_VALUE: typing.Final = '1'
 
+# Status with which a server turns requests away.
+OVERLOADED_STATUS: typing.Final = 503
+
+SECONDS_REGEX: typing.Final = re.compile(r'[0-9]+(\.[0-9]+)?')
+
 
 class PlatformWireFormat(entry.WireFormat):
     """Header names, paths and look-up format of the platform."""
@@ -59,13 +65,29 @@
         """Return what an answer says about the server that sent it."""
         if status == MISDIRECTED_STATUS:
             return entry.ServerNotice()
-        return entry.ServerNotice(
-            leaving=any(
-                name.lower() == self.leaving_header.lower()
-                and value.strip() == LEAVING_VALUE
-                for name, value in headers
-            )
-        )
+        notice = entry.ServerNotice()
+        for name, value in headers:
+            if name.lower() == self.leaving_header.lower():
+                leaving = value.strip() == LEAVING_VALUE
+                notice = notice._replace(leaving=notice.leaving or leaving)
+            elif (
+                status == OVERLOADED_STATUS
+                and name.lower() == self.retry_after_header.lower()
+            ):
+                pause_s = max(notice.pause_s, parse_seconds(value))
+                notice = notice._replace(pause_s=pause_s)
+        return notice
+
+
+def parse_seconds(text: str) -> float:
+    """Return a number of seconds, 0 if the text is anything else.
+
+    A date of HTTP is not a number of seconds, nor is a negative number.
+    """
+    stripped = text.strip()
+    if SECONDS_REGEX.fullmatch(stripped) is None:
+        return 0.0
+    return float(stripped)
 
 
 class PlatformAdapter(entry.Platform):
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -200,6 +200,33 @@
         round_trip_s, cost_s_per_byte = NETWORK_COSTS[distance]
         return round_trip_s + cost_s_per_byte * size_bytes
 
+    def matching_servers(
+        self, query: PlacementQuery
+    ) -> list[_servers.ServerRecord]:
+        """Return the servers that may run a request, now or later."""
+        return [
+            server
+            for server in self.table.usable_servers(
+                query.service, query.allowed_regions
+            )
+            if server.entry.server_id not in query.tried_servers
+            and (query.region is None or server.region == query.region)
+        ]
+
+    def accepting_from(self, query: PlacementQuery, now: float) -> float:
+        """Return when the first server that may run a request wants any.
+
+        This is ``now`` unless all of them asked for a pause, and infinite
+        without such a server.
+        """
+        return min(
+            (
+                max(now, server.announcements.pause_until)
+                for server in self.matching_servers(query)
+            ),
+            default=float('inf'),
+        )
+
     def eligible_servers(
         self, query: PlacementQuery, now: float
     ) -> list[tuple[int, _servers.ServerRecord]]:
@@ -213,15 +240,10 @@
             <= SMALL_EXCHANGE_BYTES
         )
         groups: dict[Distance, list[_servers.ServerRecord]] = {}
-        for server in self.table.usable_servers(
-            query.service, query.allowed_regions
-        ):
-            if server.entry.server_id in query.tried_servers:
-                continue
-            if query.region is None or server.region == query.region:
-                groups.setdefault(
-                    self.ranking_group(server, small), []
-                ).append(server)
+        for server in self.matching_servers(query):
+            groups.setdefault(self.ranking_group(server, small), []).append(
+                server
+            )
         chosen: list[tuple[int, _servers.ServerRecord]] = []
         for servers in groups.values():
             servers.sort(
@@ -234,6 +256,7 @@
                 server
                 for server in servers
                 if now >= server.paused_until
+                and not server.has_requested_pause(now)
                 and self.cold_rate_allows(server, now)
             ]
             chosen += [
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -79,6 +79,9 @@
 REPORTED_LOAD_WEIGHT: typing.Final = 0.4
 FULL_WEIGHT_REPORTS: typing.Final = 8
 
+# Load that is assumed of the slots of a server that asked for a pause.
+PAUSED_SERVER_LOAD: typing.Final = 1.0
+
 # Weight of what replaces missing reports.  It is lower because this VM's own
 # estimate covers only a part of all requests.
 ESTIMATE_WEIGHT: typing.Final = 0.1
@@ -369,11 +372,18 @@
     ) -> None:
         """Update the moving averages of the load by region."""
         estimated: dict[str, float] = {}
+        paused_counts: collections.Counter[str] = collections.Counter()
         for server in self.table.usable_servers(service, None):
             requests = min(
                 server.entry.slots + 1,
                 server.estimated_requests(now) + server.waiting_requests,
             )
+            if server.has_requested_pause(now):
+                # It gets no requests from this VM, so it reports no load.
+                paused_counts[server.region] += 1
+                requests = max(
+                    requests, PAUSED_SERVER_LOAD * server.entry.slots
+                )
             estimated[server.region] = (
                 estimated.get(server.region, 0.0) + requests
             )
@@ -382,6 +392,7 @@
             if region == self.region:
                 self.update_local(split, reports, now)
             reports += split.peer_reports(region, now)
+            reports += [PAUSED_SERVER_LOAD] * paused_counts[region]
             split.report_counts[region] = len(reports)
             if reports:
                 load = summarize(reports).load
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -42,6 +42,10 @@
 INITIAL_PAUSE_S: typing.Final = 0.5
 MAX_PAUSE_S: typing.Final = 4.0
 
+# Longest pause that a server can ask for at a time.  Longer than an overload
+# usually lasts, but one wrong value does not remove a server for hours.
+MAX_REQUESTED_PAUSE_S: typing.Final = 300.0
+
 # Removed servers whose announcements are kept, since the store may list them
 # again.
 MAX_REMOVED_SERVERS: typing.Final = 1024
@@ -59,6 +63,13 @@
 
     def __init__(self) -> None:
         self.leaving = False
+        # End of the pause that the server asked this VM for.
+        self.pause_until = float('-inf')
+
+    def request_pause(self, pause_s: float, now: float) -> None:
+        """Begin a pause, or extend one that would end earlier."""
+        until = now + min(MAX_REQUESTED_PAUSE_S, pause_s)
+        self.pause_until = max(self.pause_until, until)
 
 
 class ServerRecord:
@@ -183,6 +194,10 @@
         """Return whether the server is in its slow start."""
         return now < self.cold_until
 
+    def has_requested_pause(self, now: float) -> bool:
+        """Return whether the server wants no requests from this VM now."""
+        return now < self.announcements.pause_until
+
     def is_leaving(self) -> bool:
         """Return whether the server announced anywhere that it will stop."""
         return self.entry.draining or self.announcements.leaving
--- a/filbertstep/steering/_waiting.py
+++ b/filbertstep/steering/_waiting.py
@@ -16,7 +16,8 @@
 
     ``target_time`` is when its answer should arrive, ``deadline`` when its
     wait ends.  The future resolves to the server to use, with a slot reserved,
-    or to None at the deadline.
+    or to None: at the deadline, or as soon as there is no server that wants
+    any request.
     """
 
     def __init__(
@@ -89,6 +90,9 @@
                 continue
             if candidate is not None:
                 candidate.server.waiting_requests += 1
+            elif self.placement.accepting_from(request.query, now) > now:
+                request.future.set_result(None)
+                continue
             remaining.append(request)
         if remaining:
             self.queues[service] = remaining
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -206,6 +206,68 @@
         self.assertIsNone(placement.best_candidate(build_query(), 100.1))
         self.assertIsNotNone(placement.best_candidate(build_query(), 105.0))
 
+    def test_a_server_that_asked_for_a_pause_gets_nothing(self) -> None:
+        """Guards against requests to a server that wants none for a while.
+
+        Its entry in the store says ready all the while, and may expire.
+        """
+        placement = self.build_placement(samples.server('s0'))
+        table = placement.table
+        announcements = table.by_id['s0'].announcements
+        announcements.request_pause(5.0, 100.0)
+        announcements.request_pause(1.0, 100.1)
+        table.put(samples.server('s0', slots=4), 100.2)
+        table.remove('s0')
+        table.put(samples.server('s0'), 100.3)
+        query = build_query()
+        for now in (100.4, 102.0, 104.9):
+            self.assertIsNone(placement.best_candidate(query, now))
+            self.assertEqual(placement.accepting_from(query, now), 105.0)
+        self.assertIsNotNone(placement.best_candidate(query, 105.0))
+        self.assertEqual(placement.accepting_from(query, 105.0), 105.0)
+
+    def test_a_pause_ends_with_the_incarnation(self) -> None:
+        """Guards against avoiding a server that started again."""
+        placement = self.build_placement(samples.server('s0'))
+        placement.table.by_id['s0'].announcements.request_pause(9.0, 99.0)
+        placement.table.put(samples.server('s0', incarnation=2), 99.5)
+        self.assertIsNotNone(placement.best_candidate(build_query(), 100.0))
+
+    def test_one_wrong_value_removes_no_server_for_hours(self) -> None:
+        """Guards against a faulty server that asks for an endless pause."""
+        placement = self.build_placement(samples.server('s0'))
+        announcements = placement.table.by_id['s0'].announcements
+        for pause_s in (1e9, float('inf')):
+            announcements.request_pause(pause_s, 100.0)
+            self.assertEqual(
+                placement.accepting_from(build_query(), 100.0), 400.0
+            )
+
+    def test_only_servers_that_may_run_the_request_count(self) -> None:
+        """Guards against refusals, or waits, for pauses of other servers."""
+        placement = self.build_placement(
+            samples.server('s0'),
+            samples.server('s1', 'b-1'),
+            samples.server('s2', draining=True),
+        )
+        for number, pause_s in enumerate((2.0, 3.0, 1.0)):
+            placement.table.by_id[f's{number}'].announcements.request_pause(
+                pause_s, 100.0
+            )
+        for changes, expected in (
+            ({}, 102.0),
+            ({'region': 'b'}, 103.0),
+            ({'allowed_regions': frozenset({'b'})}, 103.0),
+            ({'tried_servers': frozenset({'s0'})}, 103.0),
+            ({'region': 'c'}, float('inf')),
+            ({'service': 'other'}, float('inf')),
+        ):
+            with self.subTest(changes=changes):
+                query = build_query(**changes)
+                self.assertEqual(
+                    placement.accepting_from(query, 100.0), expected
+                )
+
     def test_slowdown_decays(self) -> None:
         """Guards against avoiding forever a server that was slow once."""
         server = samples.server_table(samples.server('s0')).by_id['s0']
--- a/tests/test_steering_waiting.py
+++ b/tests/test_steering_waiting.py
@@ -59,6 +59,40 @@
             self.assertIn(expected, started)
             self.assertEqual(len(started), 3 - expected)
 
+    async def test_a_wait_ends_without_a_server_that_wants_requests(
+        self,
+    ) -> None:
+        """Guards against a request that waits for nothing."""
+        for name in ('paused', 'leaving', 'removed'):
+            with self.subTest(name=name):
+                self.setUp()
+                request = self.enqueue(1, 1.0)
+                self.assertFalse(request.future.done())
+                announcements = self.server.announcements
+                if name == 'paused':
+                    announcements.request_pause(3.0, 0.5)
+                elif name == 'leaving':
+                    announcements.leaving = True
+                else:
+                    self.table.remove('s0')
+                self.queue.dispatch('orders', 0.6)
+                self.assertTrue(request.future.done())
+                self.assertIsNone(request.future.result())
+
+    async def test_the_end_of_a_pause_ends_a_wait(self) -> None:
+        """Guards against a request that stays queued beside a free server."""
+        self.table.put(samples.server('s1'), 0.0)
+        other = self.table.by_id['s1']
+        other.announcements.request_pause(1.0, 0.0)
+        request = self.enqueue(1, 1.0)
+        self.queue.dispatch('orders', 0.9)
+        self.assertFalse(request.future.done())
+        self.queue.dispatch('orders', 1.0)
+        self.assertTrue(request.future.done())
+        candidate = request.future.result()
+        assert candidate is not None
+        self.assertIs(candidate.server, other)
+
     async def test_a_wait_ends_at_its_deadline(self) -> None:
         """Guards against requests that wait forever."""
         request = self.enqueue(1, 1.0)
