Check what servers announce in the fleet soak

The soak's servers now say Server-Leaving in all answers once they drain, at times 5 s before their entry in the store changes, and full servers at times add Retry-After to their 503. All servers of a service may turn requests away for a while, as if they were full.

Two checks judge the platform's rules from what callers and servers saw: leaving_server_unused (only a restart or a freeze excuses, an outage of the store does not) and paused_server_unused (at most two requests from half a second after the answer; restarts, freezes and cut links excuse).

--- a/tests/fleet_soak/__init__.py
+++ b/tests/fleet_soak/__init__.py
@@ -9,6 +9,7 @@
 """
 
 from tests.fleet_soak._checks import CHECKS as CHECKS
+from tests.fleet_soak._history import Arrival as Arrival
 from tests.fleet_soak._history import Attempt as Attempt
 from tests.fleet_soak._history import AttemptResult as AttemptResult
 from tests.fleet_soak._history import Change as Change
@@ -16,6 +17,8 @@
 from tests.fleet_soak._history import Execution as Execution
 from tests.fleet_soak._history import Fault as Fault
 from tests.fleet_soak._history import History as History
+from tests.fleet_soak._history import Notice as Notice
+from tests.fleet_soak._history import NoticeKind as NoticeKind
 from tests.fleet_soak._run import Outcome as Outcome
 from tests.fleet_soak._run import run_soak as run_soak
 from tests.fleet_soak._run import VM_COUNT as VM_COUNT
--- a/tests/fleet_soak/_checks.py
+++ b/tests/fleet_soak/_checks.py
@@ -23,6 +23,16 @@
 WITHDRAWAL_BOUND_S: typing.Final = 5.0
 CONFIG_BOUND_S: typing.Final = 2.0
 
+# Time for which a server that asked for a pause tolerates requests that were
+# on their way, and the number of further ones that it tolerates in the pause.
+PAUSE_GRACE_S: typing.Final = 0.5
+MAX_REQUESTS_IN_PAUSE: typing.Final = 2
+
+# Faults after which a VM need not know what a server said, and those that may
+# have kept the answer from it.  They excuse all VMs of the fleet.
+RESTART_FAULTS: typing.Final = frozenset({'stop_vms', 'kill_vms', 'pause_vm'})
+LINK_FAULTS: typing.Final = frozenset({'cut_server_links'})
+
 # An attempt that fails within this time and is not executed was not
 # interrupted.
 FAST_FAILURE_S: typing.Final = 0.2
@@ -163,6 +173,70 @@
     ]
 
 
+def leaving_server_unused(history: History) -> list[str]:
+    """Check that VMs send nothing to servers that said that they leave.
+
+    This applies to the requests that callers send later than the drain bound
+    after the VM passed on such an answer, whether or not it is in touch with
+    the store.
+    """
+    passed_on: dict[tuple[str, str], float] = {}
+    for notice in history.notices:
+        result = history.results.get(notice.request_id)
+        if (
+            notice.kind is _history.NoticeKind.LEAVING
+            and result is not None
+            and result.status == 200
+            and len(history.executions_of(notice.request_id)) == 1
+        ):
+            key = (notice.server, history.vm_of(notice.request_id))
+            passed_on[key] = min(
+                result.ended_at, passed_on.get(key, float('inf'))
+            )
+    violations = []
+    for arrival in history.arrivals:
+        vm = history.vm_of(arrival.request_id)
+        known_since = passed_on.get((arrival.server, vm))
+        if known_since is None:
+            continue
+        sent_at = history.attempts[arrival.request_id].sent_at
+        if sent_at > known_since + DRAIN_BOUND_S and not history.has_fault_of(
+            RESTART_FAULTS, known_since, arrival.at
+        ):
+            violations.append(
+                f'{arrival.request_id} at {arrival.server} from {vm}, which '
+                f'has known for {sent_at - known_since:.2f} s that it leaves'
+            )
+    return violations
+
+
+def paused_server_unused(history: History) -> list[str]:
+    """Check that VMs send next to nothing to servers that want no requests."""
+    arrivals: dict[tuple[str, str], list[float]] = {}
+    for arrival in history.arrivals:
+        key = (arrival.server, history.vm_of(arrival.request_id))
+        arrivals.setdefault(key, []).append(arrival.at)
+    violations = []
+    for notice in history.notices:
+        if notice.kind is not _history.NoticeKind.PAUSE:
+            continue
+        vm = history.vm_of(notice.request_id)
+        ends_at = notice.answered_at + notice.pause_s
+        late = [
+            at
+            for at in arrivals.get((notice.server, vm), [])
+            if notice.answered_at + PAUSE_GRACE_S < at < ends_at
+        ]
+        if len(late) > MAX_REQUESTS_IN_PAUSE and not history.has_fault_of(
+            RESTART_FAULTS | LINK_FAULTS, notice.answered_at, late[-1]
+        ):
+            violations.append(
+                f'{len(late)} requests from {vm} at {notice.server} in a '
+                f'pause of {notice.pause_s} s'
+            )
+    return violations
+
+
 def evacuated_zone_unused(history: History) -> list[str]:
     """Check that evacuated availability zones get no requests.
 
@@ -328,6 +402,8 @@
         key_not_forwarded,
         withdrawn_key_rejected,
         draining_server_unused,
+        leaving_server_unused,
+        paused_server_unused,
         evacuated_zone_unused,
         request_not_interrupted,
         allowed_request_admitted,
--- a/tests/fleet_soak/_faults.py
+++ b/tests/fleet_soak/_faults.py
@@ -149,7 +149,13 @@
     """Replace servers; some are removed without announcing the drain."""
     for _ in range(rng.randint(1, 3)):
         server = rng.choice(world.ready_servers())
-        world.start_task(world.drain_server(server, rng.random() < 0.7))
+        world.start_task(
+            world.drain_server(
+                server,
+                announced=rng.random() < 0.7,
+                entry_delay_s=rng.choice((0.0, MAX_FAULT_S)),
+            )
+        )
         await asyncio.sleep(rng.choice(ACTION_PAUSES_S))
 
 
@@ -233,7 +239,10 @@
 
 
 async def degrade_servers(world: _world.World, rng: random.Random) -> None:
-    """Make servers slow, lose responses, or send bytes without end."""
+    """Make servers slow, lose responses, or send bytes without end.
+
+    The servers of a service may also turn requests away as if they were full.
+    """
     servers = rng.sample(world.ready_servers(), 3)
     for server in servers:
         server.execution_time_factor = rng.choice((1.0, 6.0))
@@ -241,11 +250,20 @@
     duration_s = choose_duration(rng)
     for server in servers:
         server.endless_response_probability = rng.choice((0.0, 0.3))
+    service = rng.choice(list(_world.SERVERS_PER_ZONE))
+    full_servers = [
+        server for server in world.ready_servers() if server.service == service
+    ]
+    rejection_probability = rng.choice((0.0, 0.6))
+    for server in full_servers:
+        server.rejection_probability = rejection_probability
     await asyncio.sleep(duration_s)
     for server in servers:
         server.execution_time_factor = 1.0
         server.response_loss_probability = 0.0
         server.endless_response_probability = 0.0
+    for server in full_servers:
+        server.rejection_probability = 0.0
 
 
 async def send_poison_requests(
--- a/tests/fleet_soak/_history.py
+++ b/tests/fleet_soak/_history.py
@@ -53,6 +53,34 @@
     key_leaked: bool = False
 
 
+class Arrival(typing.NamedTuple):
+    """A request reached a backend server that it was meant for."""
+
+    at: float
+    request_id: str
+    server: str
+
+
+class NoticeKind(enum.StrEnum):
+    """What a server says about itself in an answer."""
+
+    LEAVING = 'leaving'
+    PAUSE = 'pause'
+
+
+class Notice(typing.NamedTuple):
+    """What a server said about itself when it answered a request.
+
+    ``pause_s`` is the pause that it asked the VM for.
+    """
+
+    answered_at: float
+    kind: NoticeKind
+    server: str
+    request_id: str
+    pause_s: float = 0.0
+
+
 class ChangeKind(enum.StrEnum):
     """Kinds of planned changes that were written to the store."""
 
@@ -91,6 +119,8 @@
         self.attempts: dict[str, Attempt] = {}
         self.results: dict[str, AttemptResult] = {}
         self.executions: list[Execution] = []
+        self.arrivals: list[Arrival] = []
+        self.notices: list[Notice] = []
         self.changes: list[Change] = []
         self.faults: list[Fault] = []
         # Requests sent after this time must succeed again.
@@ -105,6 +135,22 @@
             for fault in self.faults
         )
 
+    def has_fault_of(
+        self, kinds: frozenset[str], since: float, until: float
+    ) -> bool:
+        """Return whether a fault of these kinds overlaps a time span."""
+        return any(
+            fault.kind in kinds
+            and fault.started_at <= until
+            and fault.ended_at >= since
+            for fault in self.faults
+        )
+
+    def vm_of(self, request_id: str) -> str:
+        """Return the address of the VM that got a request, '' if unknown."""
+        attempt = self.attempts.get(request_id)
+        return attempt.vm_address if attempt is not None else ''
+
     def executions_of(self, request_id: str) -> list[Execution]:
         """Return the executions of a request."""
         return [
--- a/tests/fleet_soak/_run.py
+++ b/tests/fleet_soak/_run.py
@@ -94,6 +94,7 @@
         'sent': len(history.attempts),
         'ran': len(history.executions),
         'faults': len(history.faults),
+        'notices': len(history.notices),
         **{
             str(status): statuses.count(status)
             for status in sorted(set(statuses))
--- a/tests/fleet_soak/_world.py
+++ b/tests/fleet_soak/_world.py
@@ -54,6 +54,9 @@
 # idle.
 DRAIN_DURATION_S: typing.Final = 3.0
 
+# Pauses in seconds that a full server asks for; 0 stands for no such request.
+PAUSES_S: typing.Final = (0.0, 0.8, 5.0)
+
 # Bytes that a faulty server sends first in place of a response, and those that
 # it repeats until the connection is closed.
 ENDLESS_RESPONSES: typing.Final = (
@@ -78,8 +81,9 @@
     """A fake backend server; ``alive`` until it is stopped.
 
     Tests inject faults: ``execution_time_factor`` multiplies execution times,
-    ``response_loss_probability`` is the probability that the connection is
-    aborted after the execution instead of a response, and
+    ``rejection_probability`` is the probability that a request is turned away
+    as if the server were full, ``response_loss_probability`` that the
+    connection is aborted after the execution instead of a response, and
     ``endless_response_probability`` that bytes without end are sent.
     """
 
@@ -94,6 +98,7 @@
         self.executing = 0
         self.queued = 0
         self.execution_time_factor = 1.0
+        self.rejection_probability = 0.0
         self.response_loss_probability = 0.0
         self.endless_response_probability = 0.0
         self.draining = False
@@ -150,8 +155,14 @@
         expected = headers.get('X-Expect-Instance', self.name)
         if expected != self.name:
             return self.reject(request_id, 421)
-        if self.queued >= MAX_QUEUED_REQUESTS:
-            return self.reject(request_id, 503)
+        self.world.history.arrivals.append(
+            _history.Arrival(self.world.now(), request_id, self.name)
+        )
+        if (
+            self.queued >= MAX_QUEUED_REQUESTS
+            or self.world.rng.random() < self.rejection_probability
+        ):
+            return self.turn_away(request_id)
         body = await request.read()
         self.queued += 1
         try:
@@ -207,9 +218,42 @@
                 'X-Server-Load': (
                     f'{self.executing},{self.queued},{SLOTS_PER_SERVER}'
                 ),
+                **self.leaving_header(request_id),
             },
         )
 
+    def leaving_header(self, request_id: str) -> dict[str, str]:
+        """Return the header that announces that the server leaves, if any."""
+        if not self.draining:
+            return {}
+        self.world.history.notices.append(
+            _history.Notice(
+                self.world.now(),
+                _history.NoticeKind.LEAVING,
+                self.name,
+                request_id,
+            )
+        )
+        return {'Server-Leaving': '1'}
+
+    def turn_away(self, request_id: str) -> web.Response:
+        """Return the response of a full server, which may ask for a pause."""
+        response = self.reject(request_id, 503)
+        response.headers.update(self.leaving_header(request_id))
+        pause_s = self.world.rng.choice(PAUSES_S)
+        if pause_s:
+            response.headers['Retry-After'] = str(pause_s)
+            self.world.history.notices.append(
+                _history.Notice(
+                    self.world.now(),
+                    _history.NoticeKind.PAUSE,
+                    self.name,
+                    request_id,
+                    pause_s,
+                )
+            )
+        return response
+
     def reject(self, request_id: str, status: int) -> web.Response:
         """Return a response to a request that is not executed."""
         headers = {'X-Request-Id': request_id, 'X-Not-Executed': '1'}
@@ -412,13 +456,16 @@
         await asyncio.sleep(max(0.0, ENTRY_EXPIRY_S - down_s))
         self.store.delete(f'servers/{server.name}')
 
-    async def drain_server(self, server: Server, announced: bool) -> None:
+    async def drain_server(
+        self, server: Server, announced: bool, entry_delay_s: float
+    ) -> None:
         """Replace a server and stop it once it has executed its requests.
 
-        The drain is announced in the entry of the server, or the entry is
-        deleted at once.
+        The server announces the drain in its answers at once, and after a
+        delay in its entry, or the entry is deleted then.
         """
         server.draining = True
+        await asyncio.sleep(entry_delay_s)
         if announced:
             server.register()
         else:
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -26,6 +26,7 @@
 }
 
 Kind = fleet_soak.ChangeKind
+Notice = fleet_soak.NoticeKind
 
 
 def make_attempt(
@@ -55,10 +56,13 @@
         results: typing.Iterable[typing.Any] = (),
         executions: typing.Iterable[typing.Any] = (),
         changes: typing.Iterable[typing.Any] = (),
+        notices: typing.Iterable[typing.Any] = (),
+        arrivals: typing.Iterable[typing.Any] = (),
     ) -> fleet_soak.History:
         """Return a history with the given records.
 
-        Results lack the time at which they ended, which is the same for all.
+        Executed requests arrived when their execution started.  Results lack
+        the time at which they ended, which is the same for all.
         """
         history = fleet_soak.History()
         history.attempts = {
@@ -69,6 +73,16 @@
             for fields in results
         }
         history.executions = list(executions)
+        history.arrivals = [
+            fleet_soak.Arrival(
+                execution.started_at, execution.request_id, execution.server
+            )
+            for execution in history.executions
+        ]
+        history.arrivals += [
+            fleet_soak.Arrival(*fields) for fields in arrivals
+        ]
+        history.notices = [fleet_soak.Notice(*fields) for fields in notices]
         history.changes = [fleet_soak.Change(*fields) for fields in changes]
         return history
 
@@ -135,6 +149,17 @@
                 [make_execution('r', late_s)],
                 [(5.0, Kind.SERVER_DRAINING, 's')],
             ),
+            'leaving_server_unused': self.make_history(
+                [make_attempt('q'), make_attempt('r', late_s)],
+                [('q', 200, True)],
+                [make_execution('q'), make_execution('r', late_s)],
+                notices=[(1.4, Notice.LEAVING, 's', 'q')],
+            ),
+            'paused_server_unused': self.make_history(
+                [make_attempt(f'r{n}') for n in range(4)],
+                notices=[(0.3, Notice.PAUSE, 's', 'r0', 2.0)],
+                arrivals=[(0.9 + n / 4, f'r{n}', 's') for n in range(1, 4)],
+            ),
             'evacuated_zone_unused': self.make_history(
                 [make_attempt('r', late_s)],
                 (),
@@ -183,6 +208,64 @@
             {'at_most_once', 'not_executed_status', 'withdrawn_key_rejected'},
         )
 
+    def test_what_servers_say_is_tolerated_within_its_bounds(self) -> None:
+        """Guards against checks that report what the bounds allow."""
+        history = self.make_history(
+            [
+                make_attempt('q'),
+                make_attempt('r', 3.4),
+                *(make_attempt(f'r{n}') for n in range(9)),
+                make_attempt('other', 9.0, vm_address='vm-2'),
+                make_attempt('unused', 9.0, vm_address='vm-3'),
+            ],
+            [('q', 200, True), ('unused', 502)],
+            [make_execution('q'), make_execution('r', 3.5)],
+            notices=[
+                (1.4, Notice.LEAVING, 's', 'q'),
+                (1.4, Notice.LEAVING, 's', 'unused'),
+                (0.3, Notice.PAUSE, 's', 'r0', 2.0),
+            ],
+            arrivals=[
+                *((0.7, f'r{n}', 's') for n in range(5)),
+                *((1.0, f'r{n}', 's') for n in range(5, 6)),
+                *((2.4, f'r{n}', 's') for n in range(7, 9)),
+                (9.0, 'other', 's'),
+                (9.0, 'unused', 's'),
+            ],
+        )
+        self.assertEqual(self.failed_checks(history), set())
+
+    def test_only_restarts_and_cuts_excuse_requests(self) -> None:
+        """Guards against an outage of the store that excuses too much."""
+        history = self.make_history(
+            [
+                make_attempt('q'),
+                *(make_attempt(f'r{n}', 9.0) for n in range(4)),
+            ],
+            [('q', 200, True)],
+            [make_execution('q')],
+            notices=[
+                (1.4, Notice.LEAVING, 's', 'q'),
+                (8.0, Notice.PAUSE, 't', 'r0', 9.0),
+            ],
+            arrivals=[
+                *((9.1, f'r{n}', 't') for n in range(4)),
+                (9.1, 'r0', 's'),
+            ],
+        )
+        both = {'leaving_server_unused', 'paused_server_unused'}
+        for kind, expected in (
+            ('fail_store', both),
+            ('cut_store_links', both),
+            ('cut_server_links', {'leaving_server_unused'}),
+            ('kill_vms', set()),
+            ('stop_vms', set()),
+            ('pause_vm', set()),
+        ):
+            with self.subTest(kind=kind):
+                history.faults = [fleet_soak.Fault(8.5, 9.0, kind, False)]
+                self.assertEqual(self.failed_checks(history), expected)
+
     def test_fleet_that_stays_down_fails(self) -> None:
         """Guards against runs that pass although no request succeeds."""
         history = self.make_history([make_attempt('r', 9.0)], [('r', 503)])
