--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -201,6 +201,17 @@
     availability_zone: str
 
 
+class ServerNotice(typing.NamedTuple):
+    """What a backend server's answer says about the server itself.
+
+    ``leaving`` is set once the server is about to stop.  ``pause_s`` is the
+    time in seconds for which it wants no requests from this VM.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
 class WireFormat(abc.ABC):
     """Names and documents on the wire to callers and backend servers.
 
@@ -238,6 +249,14 @@
         ``addresses`` are valid for ``ttl_s`` seconds.
         """
 
+    @abc.abstractmethod
+    def parse_server_notice(
+        self,
+        status: int,
+        headers: collections.abc.Iterable[tuple[str, str]],
+    ) -> ServerNotice:
+        """Return what the status and headers of a server's answer tell."""
+
 
 class EntrySettings(typing.NamedTuple):
     """Checked settings of the entry program.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -233,6 +233,56 @@
     )
 
 
+class TestServerNotices(unittest.TestCase):
+    """What the answers of a server say about it."""
+
+    def test_leaving_is_announced_by_a_header(self) -> None:
+        """Guards against missing, or misreading, that a server leaves."""
+        wire_format = platform.PlatformAdapter('').wire_format()
+        for status, headers, expected in (
+            (200, [('Server-Leaving', '1')], True),
+            (503, [('server-leaving', ' 1 ')], True),
+            (200, [('Server-Leaving', '0'), ('Server-Leaving', '1')], True),
+            (200, [('Server-Leaving', '0')], False),
+            (200, [('Server-Leaving', '')], False),
+            (200, [('X-Other', '1')], False),
+            (200, [], False),
+            (421, [('Server-Leaving', '1')], False),
+        ):
+            with self.subTest(status=status, headers=headers):
+                notice = wire_format.parse_server_notice(status, headers)
+                self.assertEqual(notice.leaving, expected)
+
+    def test_retry_after_of_a_503_asks_for_a_pause(self) -> None:
+        """Guards against a pause that is missed, or was not asked for."""
+        wire_format = platform.PlatformAdapter('').wire_format()
+        for status, values, expected in (
+            (503, ['5'], 5.0),
+            (503, [' 0.25 '], 0.25),
+            (503, ['1', '3', '2'], 3.0),
+            (503, ['soon', '2'], 2.0),
+            (503, ['0'], 0.0),
+            (503, ['0.0'], 0.0),
+            (503, ['-3'], 0.0),
+            (503, ['nan'], 0.0),
+            (503, ['inf'], 0.0),
+            (503, ['1e9'], 0.0),
+            (503, ['1_0'], 0.0),
+            (503, ['\u0665'], 0.0),
+            (503, [''], 0.0),
+            (503, ['Sat, 05 Dec 2026 07:00:00 GMT'], 0.0),
+            (503, ['9' * 400], float('inf')),
+            (200, ['5'], 0.0),
+            (429, ['5'], 0.0),
+            (500, ['5'], 0.0),
+            (421, ['5'], 0.0),
+        ):
+            with self.subTest(status=status, values=values):
+                headers = [('retry-after', value) for value in values]
+                notice = wire_format.parse_server_notice(status, headers)
+                self.assertEqual(notice.pause_s, expected)
+
+
 class TestSettings(unittest.TestCase):
     """Parsing of the settings file that the platform renders."""
 
