List VMs of the build before, whose entries name no era

An entry without the era of its lease made a VM unreadable for VMs of this build, so that look-ups would have left it out while builds are mixed. Found by a test of the merged parts: test_members_with_odd_addresses_are_not_listed failed with an empty list.

--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -44,7 +44,7 @@
     region: str
     callers: str
     peers: str
-    era: int
+    era: typing.NotRequired[int]
 
 
 class MemberTable:
@@ -66,7 +66,9 @@
             doc = decode_member(change.value)
             if doc is None or not name:
                 self.live.pop(name, None)
-            elif doc['era'] >= change.era or name in self.live:
+            elif doc.get('era', change.era) >= change.era or (
+                name in self.live
+            ):
                 # Otherwise a restored store shows a VM that is gone, or that
                 # registers anew.
                 self.live[name] = steering.Member(
