Relay what a restored store lacks also to VMs of the new era

What callers could get: a VM that had not read a change which the restored store lost, such as the removal of an API key, fetched from a peer that knew it, and went on accepting the key until the operator had written again (CONFIG, for all machines).

Cause: a peer keeps such a value with its position of the era before, and a partial answer left out everything before the position asked for. The answer still told the age of the peer's documents, which the VM took over without the documents. A relayed value of the era before also counted as written in the new one.

Partial answers now have all values of an era before, and only a configuration of the batch's own era proves that the operator has written again.

Evidence: test_partial_relay_has_what_the_copy_lacks failed with b'0 9' != b'0 12' before, and with a documents' age of 0.5 s for 1.5 s with the first half of the change only.

--- a/filbertstep/entry/_knowledge.py
+++ b/filbertstep/entry/_knowledge.py
@@ -160,6 +160,7 @@
             current = self.items.get(change.key)
             if (
                 current is not None
+                and change.era == batch.era
                 and current.position == change.position
                 and self.rules.is_configuration(change.key)
             ):
@@ -378,7 +379,8 @@
     ) -> tuple[list[_contracts.Change], bool]:
         """Return the changes after a position, and whether they are partial.
 
-        If deletions since that position may have been forgotten, the full
+        Values that a restored store lacks are always among them.  If
+        deletions since that position may have been forgotten, the full
         content is returned instead, and False.  Held deletions count as done:
         a peer that already knows a later position would otherwise never learn
         of them, and it holds them itself if it has to.
@@ -390,7 +392,12 @@
             )
             for key, item in self.items.items()
             if key not in self.held_deletions
-            and (not partial or item.position > after)
+            and (
+                not partial
+                or item.position > after
+                # A peer at the same position may have the copy's older value.
+                or item.position.era < self.position.era
+            )
         ]
         if not partial:
             return changes, False
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -362,6 +362,25 @@
         self.watch_store(2, 31, 4.2, ('c', 31, b'0 12'))
         self.assertEqual(self.replica.documents_age(4.2), 0.0)
 
+    def test_partial_relay_has_what_the_copy_lacks(self) -> None:
+        """Guards against keys that a cut-off VM accepts after their removal.
+
+        Both VMs have read the restored store, and only the peer had read the
+        configuration that the copy lacks.  The peer's word on the age of its
+        documents must come with these documents.
+        """
+        behind = _knowledge.StoreReplica(lambda _: None, SampleRules())
+        behind.replace(self.batch(1, 39, ('c', 20, b'0 9')), 0.0, 0.0)
+        copy = self.batch(2, 30, ('c', 20, b'0 9'))
+        behind.replace(copy, 4.0, 4.0)
+        self.replica.replace(copy, 4.0, 4.0)
+        changes, partial = self.replica.changes_since(behind.position)
+        self.assertTrue(partial)
+        relayed = entry.ChangeBatch(tuple(changes), 30, 2)
+        behind.receive(relayed, partial, 4.5, 3.5, 5.0)
+        self.assertEqual(behind.documents_age(5.0), 1.5)
+        self.assertEqual(behind.items['c'].value, b'0 12')
+
     def test_older_configuration_does_not_confirm(self) -> None:
         """The operator may write its versions again one after the other."""
         self.list_store(2, 30, 4.0, ('c', 20, b'0 9'))
