--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -5,6 +5,7 @@
 
 import result
 
+from filbertstep import _decimals
 from filbertstep import clock
 from filbertstep import steering
 from filbertstep.entry import _contracts
@@ -58,9 +59,9 @@
 
     def settled_era(self, key: str, value: bytes) -> int | None:
         """Return the era that a value records as settled, if it does."""
-        if key != _sync.ERA_KEY or not value.isdigit():
+        if key != _sync.ERA_KEY:
             return None
-        return int(value)
+        return _decimals.parse_decimal(value.decode(errors='replace'))
 
 
 class State:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -310,6 +310,18 @@
         self.assertEqual(self.state.replica.position.revision, 10)
         self.assertIsNotNone(self.state.configuration)
 
+    def test_odd_record_of_a_settled_era_hides_no_other(self) -> None:
+        """Guards against a batch that is applied in part only."""
+        for value in (b'9' * 5000, '\u00b2'.encode(), b'\xff', b'-1', b''):
+            with self.subTest(value=value[:4]):
+                self.setUp()
+                self.apply(
+                    ('era', value),
+                    ('servers/i-1', json.dumps(SERVER).encode()),
+                )
+                self.assertEqual(set(self.state.servers.by_id), {'i-1'})
+                self.assertEqual(self.state.replica.position.revision, 2)
+
     def test_members_with_odd_addresses_are_not_listed(self) -> None:
         """Guards against peers and look-up answers that name no address."""
         member = {
