--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -225,7 +225,7 @@
             errors.ErrorKind.NO_ROOM,
             'the server asked for a pause',
             _messages.clamp_retry_after(
-                server.announcements.pause_until - now
+                server.announcements.requested_pause_until - now
             ),
         )
 
@@ -344,7 +344,7 @@
                     server=server.entry.server_id,
                     service=server.entry.service,
                     requested_s=notice.pause_s,
-                    until=round(server.announcements.pause_until, 3),
+                    until=round(server.announcements.requested_pause_until, 3),
                 )
 
 
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -221,7 +221,7 @@
         """
         return min(
             (
-                max(now, server.announcements.pause_until)
+                max(now, server.announcements.requested_pause_until)
                 for server in self.matching_servers(query)
             ),
             default=float('inf'),
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -64,12 +64,12 @@
     def __init__(self) -> None:
         self.leaving = False
         # End of the pause that the server asked this VM for.
-        self.pause_until = float('-inf')
+        self.requested_pause_until = float('-inf')
 
     def request_pause(self, pause_s: float, now: float) -> None:
         """Begin a pause, or extend one that would end earlier."""
         until = now + min(MAX_REQUESTED_PAUSE_S, pause_s)
-        self.pause_until = max(self.pause_until, until)
+        self.requested_pause_until = max(self.requested_pause_until, until)
 
 
 class ServerRecord:
@@ -196,7 +196,7 @@
 
     def has_requested_pause(self, now: float) -> bool:
         """Return whether the server wants no requests from this VM now."""
-        return now < self.announcements.pause_until
+        return now < self.announcements.requested_pause_until
 
     def is_leaving(self) -> bool:
         """Return whether the server announced anywhere that it will stop."""
