Reserve the ports of VMs in tests among all runs

The stand-in deployments already reserve whole blocks of ports by a bound socket.

Change: entry processes in tests use that allocation; the copy of the allocation in the tests goes.

--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -3,13 +3,12 @@
 import asyncio
 import os
 import pathlib
-import random
-import socket
 import sys
 import typing
 
 import aiohttp
 
+from filbertstep import deployment
 from tests import test_platform_adapter as adapter_tests
 
 BOUNDS: typing.Final = {
@@ -29,33 +28,6 @@
 LISTENERS: typing.Final = ('front', 'ready', 'control', 'directory')
 
 
-# Below the range from which the kernel assigns ports to connections and to
-# listeners on port 0, which could take a port before its listener starts.
-PORT_RANGE: typing.Final = range(15000, 32000)
-
-
-# Ports returned before, whose owners may not listen on them yet.
-ALLOCATED_PORTS: typing.Final[set[int]] = set()
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now and were not returned before."""
-    found: list[int] = []
-    while len(found) < count:
-        port = random.choice(PORT_RANGE)
-        if port in ALLOCATED_PORTS:
-            continue
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        ALLOCATED_PORTS.add(port)
-        found.append(port)
-    return found
-
-
 class EntryProcess:
     """One VM; ``addresses`` holds its addresses by listener name.
 
@@ -66,7 +38,9 @@
     def __init__(
         self, folder: pathlib.Path, name: str, **fields: object
     ) -> None:
-        ports = free_ports(len(LISTENERS) + 1)
+        # Below the range from which the kernel assigns ports to connections
+        # and to listeners on port 0, and reserved among all runs.
+        ports = deployment.allocate_ports(len(LISTENERS) + 1)
         self.name = name
         self.addresses = {
             listener: f'127.0.0.1:{port}'
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -8,7 +8,6 @@
 import time
 import typing
 import unittest
-from unittest import mock
 
 import uvloop
 
@@ -275,16 +274,51 @@
         self.assertFalse(fleet_soak.CHECKS['fleet_recovers'](history))
 
 
+def allocate_vm_ports() -> list[int]:
+    """Return the ports of the listeners of a new VM."""
+    vm = entry_process.EntryProcess(pathlib.Path(), 'vm')
+    addresses = [*vm.addresses.values(), vm.metrics_address]
+    return [int(address.rpartition(':')[2]) for address in addresses]
+
+
 class TestProcesses(unittest.TestCase):
     """Runs must not interfere with each other."""
 
     def test_ports_are_assigned_only_once(self) -> None:
         """Guards against VMs that cannot bind their port (seed 300)."""
-        with mock.patch.object(
-            entry_process, 'PORT_RANGE', range(15000, 15040)
-        ):
-            ports = [entry_process.free_ports(5) for _ in range(3)]
-        self.assertEqual(len({port for row in ports for port in row}), 15)
+        ports = [port for _ in range(300) for port in allocate_vm_ports()]
+        self.assertEqual(len(set(ports)), len(ports))
+
+    def test_runs_beside_each_other_share_no_port(self) -> None:
+        """Guards against VMs that bind a port of another run (seed 300).
+
+        Another process draws all the ports that 20 runs need before this one
+        draws any, and keeps them without listening yet.
+        """
+        script = (
+            'import sys\n'
+            'from tests import test_fleet_soak\n'
+            'for _ in range(140):\n'
+            '    print(*test_fleet_soak.allocate_vm_ports())\n'
+            'print(flush=True)\n'
+            'sys.stdin.read()\n'
+        )
+        with subprocess.Popen(
+            [sys.executable, '-c', script],
+            cwd=adapter_tests.ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        ) as other_run:
+            assert other_run.stdout is not None
+            lines = iter(other_run.stdout.readline, '\n')
+            other_ports = {
+                int(port) for line in lines for port in line.split()
+            }
+            ports = {port for _ in range(140) for port in allocate_vm_ports()}
+            other_run.communicate('')
+        self.assertEqual(len(other_ports), 700)
+        self.assertEqual(ports & other_ports, set())
 
     def test_terminated_run_ends_its_processes(self) -> None:
         """Guards against leftover VMs that call a later run (seed 301).
