Share the cached copy of a light object among the zones of a region

The fixed limit of 1000 bytes, up to which zones shared a copy, kept 1500 bytes apart. Also, a short run on a server that another VM had filled counted as a run without the object, and a long one after an eviction as a slow server: both averages drifted.

Change: a zone shares the copy of its region until its requests for the object have spent as much on crossing zones as a first run costs; then it gets its own. A run without the object is told from one with it by its time.

test_the_local_zone_is_preferred asserted the fixed limit at 3000 bytes; it now asserts the local zone for heavy exchanges and, new, without an object.

--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -172,6 +172,9 @@
             zone = member.availability_zone
             zones[zone] = zones.get(zone, 0) + 1
         self.placement.vms_in_zone = zones
+        self.placement.copies.vms_in_zone = max(
+            1, zones.get(self.settings.availability_zone, 0)
+        )
         self.regions.region_vm_count = max(
             1,
             sum(
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -185,8 +185,7 @@
         """Send a request to the server on which its slot is reserved."""
         server = candidate.server
         sent_at = self.clock.now()
-        if query.affinity_key:
-            server.record_object(query.affinity_key, sent_at)
+        self.state.placement.record_sent(query, server, sent_at)
         path, _, query_string = admitted.call.path.partition('?')
         attempt = delivery.Attempt(
             server=server.entry.address,
@@ -280,12 +279,15 @@
             # Only without a wait for a slot is the time to the answer that of
             # the run.
             if candidate.slot_wait_s == 0.0:
-                expected_s = run_times.expected_run_s(candidate.cached)
+                cached = run_times.was_cached(
+                    candidate.cached, took_s, server.slowdown
+                )
+                expected_s = run_times.expected_run_s(cached)
                 server.record_success(
                     took_s / max(MIN_EXPECTED_RUN_S, expected_s), now
                 )
                 run_times.record(
-                    candidate.cached,
+                    cached,
                     took_s / server.slowdown,
                     len(outcome.body) + sent_bytes,
                 )
--- a/filbertstep/steering/__init__.py
+++ b/filbertstep/steering/__init__.py
@@ -18,6 +18,7 @@
 from filbertstep.steering._placement import Candidate as Candidate
 from filbertstep.steering._placement import Placement as Placement
 from filbertstep.steering._placement import PlacementQuery as PlacementQuery
+from filbertstep.steering._placement import RunTimes as RunTimes
 from filbertstep.steering._quota import QuotaTable as QuotaTable
 from filbertstep.steering._regions import LoadSummary as LoadSummary
 from filbertstep.steering._regions import RegionSplitter as RegionSplitter
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -9,8 +9,10 @@
 
 import collections.abc
 import enum
+import math
 import typing
 
+from filbertstep.steering import _copies
 from filbertstep.steering import _model
 from filbertstep.steering import _routes
 from filbertstep.steering import _servers
@@ -28,10 +30,6 @@
 # Assumed size of a request and its answer before the first answer.
 INITIAL_EXCHANGE_BYTES: typing.Final = 3000.0
 
-# Up to this size, the servers of all zones of a region are ranked together.
-# Fewer servers then have to cache an object, at a negligible traffic cost.
-SMALL_EXCHANGE_BYTES: typing.Final = 1000.0
-
 # Seconds added to the estimate for each place in the rendezvous order after
 # the first, unless the server is known to have the object cached.  A request
 # there takes longer now and adds the object to the cache of one more server.
@@ -57,6 +55,12 @@
 RUN_TIME_WEIGHT: typing.Final = 0.05
 EXCHANGE_BYTES_WEIGHT: typing.Final = 0.2
 
+# Up to this slowdown a server counts as normal.  Run times vary by some 15%.
+MAX_NORMAL_SLOWDOWN: typing.Final = 1.3
+
+# Keeps divisors from 0: the target latency of a route may be 0.
+MIN_RUN_S: typing.Final = 0.001
+
 # Assumed run times before the first answer, relative to the route's target.
 INITIAL_UNCACHED_RUN_RATIO: typing.Final = 1.5
 INITIAL_CACHED_RUN_RATIO: typing.Final = 0.5
@@ -111,10 +115,28 @@
             + (1.0 - cached_probability) * self.uncached_s
         )
 
+    def was_cached(self, assumed: bool, run_s: float, slowdown: float) -> bool:
+        """Return whether a run of this time had the object cached.
+
+        ``assumed`` is what this VM knew: other VMs also fill the caches, and
+        a server may have evicted the object.  ``slowdown`` is that of the
+        server before the run.
+        """
+        if not assumed:
+            return run_s < math.sqrt(self.cached_s * self.uncached_s)
+        # A long run on a server that was slow before says nothing.
+        return (
+            slowdown > MAX_NORMAL_SLOWDOWN
+            or not 1.0 / MAX_NORMAL_SLOWDOWN
+            < run_s / max(MIN_RUN_S, self.uncached_s)
+            < MAX_NORMAL_SLOWDOWN
+        )
+
     def record(self, cached: bool, run_s: float, size_bytes: int) -> None:
         """Update the averages with the run time and size of one exchange.
 
-        ``size_bytes`` includes request and answer.
+        ``cached`` tells whether the run had the object cached.  ``size_bytes``
+        includes request and answer.
         """
         self.exchange_bytes += EXCHANGE_BYTES_WEIGHT * (
             size_bytes - self.exchange_bytes
@@ -179,6 +201,7 @@
         # Number of entry VMs by availability zone.  They share the rate limit
         # of a cold server.
         self.vms_in_zone: collections.abc.Mapping[str, int] = {}
+        self.copies = _copies.CopyPolicy()
 
     def route_run_times(self, route: _model.Route) -> RunTimes:
         """Return the moving averages of a route."""
@@ -235,13 +258,10 @@
         These are the first few servers of each group, and all servers known
         to have the object cached.  Rank 0 is the first.
         """
-        small = (
-            self.route_run_times(query.route).exchange_bytes
-            <= SMALL_EXCHANGE_BYTES
-        )
+        shared = self.shares_copy(query, now)
         groups: dict[Distance, list[_servers.ServerRecord]] = {}
         for server in self.matching_servers(query):
-            groups.setdefault(self.ranking_group(server, small), []).append(
+            groups.setdefault(self.ranking_group(server, shared), []).append(
                 server
             )
         chosen: list[tuple[int, _servers.ServerRecord]] = []
@@ -284,8 +304,16 @@
         """
         best: Candidate | None = None
         best_cost = (True, float('inf'))
-        for rank, server in self.eligible_servers(query, now):
+        eligible = self.eligible_servers(query, now)
+        own_copy_due_s = self.own_copy_due_s(
+            query, (server for _, server in eligible), now
+        )
+        for rank, server in eligible:
             candidate = self.estimate(server, query, rank == 0, now)
+            if self.distance(server) is Distance.SAME_REGION:
+                candidate = candidate._replace(
+                    estimate_s=candidate.estimate_s + own_copy_due_s
+                )
             if not candidate.cached:
                 candidate = candidate._replace(
                     estimate_s=candidate.estimate_s + rank * RANK_PENALTY_S
@@ -302,17 +330,73 @@
         return best
 
     def ranking_group(
-        self, server: _servers.ServerRecord, small: bool
+        self, server: _servers.ServerRecord, shared: bool
     ) -> Distance:
         """Return the group of servers within which a server is ranked.
 
-        ``small`` ranks the zones of this VM's region together.
+        ``shared`` ranks the zones of this VM's region together.
         """
         distance = self.distance(server)
-        if small and distance is Distance.SAME_ZONE:
+        if shared and distance is Distance.SAME_ZONE:
             return Distance.SAME_REGION
         return distance
 
+    def shares_copy(self, query: PlacementQuery, now: float) -> bool:
+        """Return whether the zones of this region share an object's copy."""
+        return bool(query.affinity_key) and self.copies.shares_copy(
+            _copies.ObjectKey(query.service, query.affinity_key),
+            self.crossing_costs(query.route),
+            now,
+        )
+
+    def crossing_costs(self, route: _model.Route) -> _copies.CrossingCosts:
+        """Return what sharing a copy and what another copy costs."""
+        run_times = self.route_run_times(route)
+        return _copies.CrossingCosts(
+            self.network_cost_s(
+                Distance.SAME_REGION, run_times.exchange_bytes
+            ),
+            max(0.0, run_times.uncached_s - run_times.cached_s),
+        )
+
+    def record_sent(
+        self, query: PlacementQuery, server: _servers.ServerRecord, now: float
+    ) -> None:
+        """Record that a server gets a request, and caches its object."""
+        if not query.affinity_key:
+            return
+        server.record_object(query.affinity_key, now)
+        key = _copies.ObjectKey(query.service, query.affinity_key)
+        distance = self.distance(server)
+        if distance is Distance.SAME_ZONE:
+            self.copies.record_own_copy(key)
+        elif distance is Distance.SAME_REGION:
+            costs = self.crossing_costs(query.route)
+            self.copies.record_crossing(key, costs.crossing_s, now)
+
+    def own_copy_due_s(
+        self,
+        query: PlacementQuery,
+        servers: collections.abc.Iterable[_servers.ServerRecord],
+        now: float,
+    ) -> float:
+        """Return what another crossing costs beyond its bytes, in seconds.
+
+        It is the cost of the first run, which the own copy saves from now on,
+        unless the zone shares a copy or has one.
+        """
+        if (
+            not query.affinity_key
+            or self.shares_copy(query, now)
+            or any(
+                server.has_cached(query.affinity_key, now)
+                for server in servers
+                if self.distance(server) is Distance.SAME_ZONE
+            )
+        ):
+            return 0.0
+        return self.crossing_costs(query.route).first_run_s
+
     def is_unused(self, server: _servers.ServerRecord, now: float) -> bool:
         """Return whether a server of this zone has had no recent requests.
 
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -73,10 +73,23 @@
             samples.server('near'),
             *(samples.server(f'far{n}', 'a-2') for n in range(4)),
         )
-        for affinity_key in ('1', '2', '3'):
-            self.assertEqual(
-                self.choose(placement, build_query(affinity_key)), 'near'
-            )
+        run_times = placement.route_run_times(samples.route())
+        for exchange_bytes in (4500.0, 60_000.0):
+            run_times.exchange_bytes = exchange_bytes
+            for affinity_key in ('', '1', '2', '3'):
+                self.assertEqual(
+                    self.choose(placement, build_query(affinity_key)), 'near'
+                )
+
+    def test_the_local_zone_is_preferred_without_an_object(self) -> None:
+        """Guards against crossing zones for requests that no cache helps."""
+        placement = self.build_placement(
+            samples.server('near'),
+            *(samples.server(f'far{n}', 'a-2') for n in range(4)),
+        )
+        run_times = placement.route_run_times(samples.route())
+        run_times.exchange_bytes = 400.0
+        self.assertEqual(self.choose(placement, build_query('')), 'near')
 
     def test_small_exchanges_rank_all_zones_of_the_region(self) -> None:
         """Guards against caching each small object in every zone."""
@@ -422,3 +435,37 @@
     def test_vms_of_other_zones_send_no_requests(self) -> None:
         """Guards against sharing the rate with VMs that do not know of it."""
         self.assertEqual(self.count_sent({'a-1': 1, 'a-2': 1}, 'a-2'), 0)
+
+
+class TestRunTimes(unittest.TestCase):
+    """Whether a run had its object cached, told by its time.
+
+    Cached runs take 0.2 s, others 0.6 s.
+    """
+
+    def test_runs_are_told_apart(self) -> None:
+        """Guards against averages that mix runs with and without the object.
+
+        Other VMs fill the caches too, and servers evict objects.
+        """
+        run_times = steering.RunTimes(0.4)
+        for assumed, run_s, slowdown, expected in (
+            (False, 0.2, 1.0, True),
+            (False, 0.6, 1.0, False),
+            (True, 0.2, 1.0, True),
+            # Evicted: as long as a run without the object.
+            (True, 0.55, 1.0, False),
+            # The server is slow: much longer, or slow before.
+            (True, 1.2, 1.0, True),
+            (True, 0.6, 3.0, True),
+        ):
+            with self.subTest(assumed=assumed, run_s=run_s, slow=slowdown):
+                self.assertEqual(
+                    run_times.was_cached(assumed, run_s, slowdown), expected
+                )
+
+    def test_a_target_of_zero_is_no_divisor(self) -> None:
+        """Guards against routes without a target latency."""
+        run_times = steering.RunTimes(0.0)
+        self.assertTrue(run_times.was_cached(True, 0.1, 1.0))
+        self.assertFalse(run_times.was_cached(False, 0.1, 1.0))
