Refuse in a stop what a long run would not finish before the exit

Cause: while a VM stops, a request was passed on if its estimated answer came before the exit.

Change: the check takes the long run, or the end of the request's own time if that is earlier. Such a request is refused as not run, and its caller goes to another VM.

--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -301,7 +301,7 @@
                     'no time is left',
                     _messages.MIN_RETRY_AFTER_S,
                 )
-            if not self.can_finish(best, now):
+            if not self.can_finish(admitted, best, now):
                 return self.refuse_stopping()
             if best.can_send_now and not state.wait_queue.length(
                 query.service
@@ -318,7 +318,7 @@
             )
             now = self.clock.now()
             if reserved is not None:
-                if self.can_finish(reserved, now):
+                if self.can_finish(admitted, reserved, now):
                     return reserved
                 reserved.server.in_progress -= 1
                 return self.refuse_stopping()
@@ -364,9 +364,21 @@
         """Return ``wait_until``, or the last useful time before the exit."""
         return min(wait_until, self.state.stop.exits_at - MIN_ATTEMPT_S)
 
-    def can_finish(self, candidate: steering.Candidate, now: float) -> bool:
-        """Return whether an answer is expected before this VM exits."""
-        return now + candidate.estimate_s < self.state.stop.exits_at
+    def can_finish(
+        self,
+        admitted: _messages.Admitted,
+        candidate: steering.Candidate,
+        now: float,
+    ) -> bool:
+        """Return whether the caller certainly gets an answer before the exit.
+
+        The estimate will not do: a server may have evicted the object that it
+        counts on, and the exit would cut off what may not be sent again.
+        """
+        return (
+            min(now + candidate.longest_s, admitted.deadline)
+            < self.state.stop.exits_at
+        )
 
     def find_candidate(
         self,
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -171,7 +171,8 @@
     ``estimate_s`` is the total cost, which includes ``slot_wait_s``, the wait
     for a slot, and ``run_s``, the run time.  ``cached`` tells whether the
     server is known to have the object cached, ``can_send_now`` whether the
-    request may be sent at once.
+    request may be sent at once.  ``longest_s`` is the time to the answer if
+    the run is a long one without the object.
     """
 
     server: _servers.ServerRecord
@@ -180,6 +181,7 @@
     run_s: float
     cached: bool
     can_send_now: bool
+    longest_s: float
 
 
 class Placement:
@@ -457,6 +459,7 @@
             )
         # A failure adds the time of the retry.
         risk_s = server.failure_rate * FAILURE_COST_RUNS * run_times.uncached_s
+        round_trip_s, _ = NETWORK_COSTS[distance]
         return Candidate(
             server,
             self.network_cost_s(distance, run_times.exchange_bytes)
@@ -467,6 +470,11 @@
             run_s,
             cached,
             requests_ahead <= max_requests - 0.5,
+            round_trip_s
+            + slot_wait_s
+            + run_times.uncached_s
+            * max(1.0, server.slowdown)
+            * MAX_NORMAL_SLOWDOWN,
         )
 
     def cold_rate_allows(
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -780,6 +780,35 @@
         self.assertEqual(self.forwarder.attempts, [])
         self.assertEqual(self.requests_in_progress(), 0)
 
+    async def test_requests_are_served_only_if_long_runs_can_finish(
+        self,
+    ) -> None:
+        """Guards against cutting off a request that took unexpectedly long.
+
+        The server is believed to have the object, and runs 0.2 s with it and
+        0.6 s without.  The exit is due in the given time.
+        """
+        for left_s, timeout_s, expected in (
+            (0.3, 1.5, errors.ErrorKind.STOPPING),
+            (0.7, 1.5, errors.ErrorKind.STOPPING),
+            (1.0, 1.5, None),
+            # Its time ends with an answer before the exit.
+            (0.7, 0.5, None),
+        ):
+            with self.subTest(left_s=left_s, timeout_s=timeout_s):
+                self.build(timeout_s=timeout_s, idempotent=False)
+                now = self.clock.now()
+                for server in self.state.servers.by_id.values():
+                    server.record_object('x', now)
+                self.state.stop.begin(now, STOP_TIMEOUT_S)
+                self.state.stop.accepts_until = now + STOP_TIMEOUT_S
+                self.state.stop.exits_at = now + left_s
+                reply = await self.serve()
+                self.assertIs(self.kind(reply), expected)
+                self.assertEqual(
+                    len(self.forwarder.attempts), 0 if expected else 1
+                )
+
     async def test_retry_that_cannot_finish_is_refused(self) -> None:
         """Guards against a further attempt that is cut off."""
         self.build()
