Bound the memory that the bodies of requests take on a VM

Cause: each body was held up to the limit of one body, whatever many callers sent at once, and a caller that stopped sending held it until it closed the connection. On the further sites uploads have 60 kB in the mean, and a VM 300 MB in all.

Change: the bytes of all bodies that a VM holds are counted and limited to a share of its memory (settings memory_mb, body_memory_share; metric filbertstep_body_bytes). A body that does not fit is refused as not run, before it is read where its length tells; one that has not arrived by the deadline of its request is refused too.

--- a/filbertstep/_metrics.py
+++ b/filbertstep/_metrics.py
@@ -76,6 +76,11 @@
             'Log lines that the reader of standard output was too slow for.',
             registry=self.registry,
         )
+        self.body_bytes = prometheus_client.Gauge(
+            'filbertstep_body_bytes',
+            'Bytes of the bodies of unanswered requests.',
+            registry=self.registry,
+        )
         self.running = prometheus_client.Gauge(
             'filbertstep_running_requests',
             'Requests on a backend server now.',
--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -1,10 +1,8 @@
 """HTTP listeners for callers' requests, look-ups and readiness checks."""
 
 import asyncio
-import functools
 import typing
 
-import aiohttp
 from aiohttp import http_parser
 from aiohttp import streams
 from aiohttp import web
@@ -16,6 +14,7 @@
 from filbertstep import delivery
 from filbertstep import errors
 from filbertstep import steering
+from filbertstep.entry import _bodies
 from filbertstep.entry import _connections
 from filbertstep.entry import _contracts
 from filbertstep.entry import _messages
@@ -44,6 +43,7 @@
         state: _state.State,
         wire_format: _contracts.WireFormat,
         time_source: clock.Clock,
+        body_memory_bytes: int,
     ) -> None:
         self.request_handler = request_handler
         self.state = state
@@ -51,6 +51,7 @@
         self.clock = time_source
         self.running: set[_pipelines.RunningRequest] = set()
         self.pipelines = _pipelines.PipelineTable()
+        self.body_memory = _bodies.BodyMemory(body_memory_bytes)
 
     def request_arrived(
         self,
@@ -138,12 +139,18 @@
                 if refusal is not None:
                     return await self.send(request, refusal)
                 call = self.parse_call(request, arrived_at)
-                read_body = functools.partial(
-                    read_limited_body, request, self.limits().max_body_bytes
+                reader = _bodies.BodyReader(
+                    self.body_memory,
+                    request,
+                    self.limits().max_body_bytes,
+                    call.deadline,
+                    self.clock,
                 )
                 work = asyncio.ensure_future(
-                    self.request_handler.serve(call, read_body)
+                    self.request_handler.serve(call, reader.read)
                 )
+                # The work may outlive this handler, and needs the body.
+                work.add_done_callback(lambda _: reader.release())
             try:
                 reply = await asyncio.shield(work)
             except asyncio.CancelledError:
@@ -312,24 +319,6 @@
     return b''
 
 
-async def read_limited_body(
-    request: web.BaseRequest, max_bytes: int
-) -> bytes | None:
-    """Read a request body, None if it exceeds ``max_bytes``.
-
-    Raises ``CancelledError`` if the caller disconnects.
-    """
-    body = bytearray()
-    try:
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > max_bytes:
-                return None
-        return bytes(body)
-    except (aiohttp.ClientError, ConnectionError) as error:
-        raise asyncio.CancelledError from error
-
-
 class LookupListener:
     """HTTP handlers for look-ups by callers and readiness checks."""
 
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -266,7 +266,8 @@
     stale.  ``region_by_zone`` maps each availability zone to its region.
     Leases are requested for at least ``min_lease_s`` seconds.  ``first_start``
     is set when the whole deployment starts for the first time.
-    ``log_lines_per_s`` is the limit for each kind of log line.
+    ``log_lines_per_s`` is the limit for each kind of log line,
+    ``body_memory_bytes`` that for the bodies of all unanswered requests.
     """
 
     vm: str
@@ -284,6 +285,7 @@
     min_lease_s: float
     first_start: bool
     log_lines_per_s: float
+    body_memory_bytes: int
     bounds: steering.Bounds
 
 
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -117,7 +117,11 @@
             token_requester.request_tokens,
         )
         self.caller_listener = _callers.CallerListener(
-            self.request_handler, self.state, wire_format, self.clock
+            self.request_handler,
+            self.state,
+            wire_format,
+            self.clock,
+            settings.body_memory_bytes,
         )
         self.lookup_listener = _callers.LookupListener(
             self.state,
@@ -204,6 +208,9 @@
         self.counters.evidence_age.set(age)
         self.counters.head_index.set(self.state.replica.position.revision)
         self.counters.store_restores.set(self.store_sync.restores)
+        self.counters.body_bytes.set(
+            self.caller_listener.body_memory.used_bytes
+        )
         self.counters.log_lines_dropped.set(self.log.handler.dropped)
         return web.Response(
             body=self.counters.render(),
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -76,22 +76,22 @@
         self,
         call: _messages.Call,
         read_body: collections.abc.Callable[
-            [], collections.abc.Awaitable[bytes | None]
+            [], collections.abc.Awaitable[bytes | errors.Failure]
         ],
     ) -> _messages.Reply:
         """Handle a request and return the reply.
 
-        ``read_body`` returns None if the body exceeds the configured limit.
+        ``read_body`` returns a failure if this VM cannot hold the body.
         """
         admitted = self.admit(call)
         if isinstance(admitted, _messages.Reply):
             return self.record_reply(call, admitted, None)
         body = await read_body()
-        if body is None:
-            too_large = _messages.failure_reply(
-                ErrorKind.BODY_TOO_LARGE, 'the body is too large'
+        if isinstance(body, errors.Failure):
+            refused = _messages.failure_reply(
+                body.kind, body.message, body.retry_after_s
             )
-            return self.record_reply(call, too_large, admitted)
+            return self.record_reply(call, refused, admitted)
         refusal = self.check_quarantine(admitted, body)
         if refusal is None:
             refusal = await self.take_token(admitted)
--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -50,12 +50,22 @@
     log_lines_per_s: typing.NotRequired[
         typing.Annotated[float, msgspec.Meta(gt=0)]
     ]
+    memory_mb: typing.Annotated[float, msgspec.Meta(gt=0)]
+    body_memory_share: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
+    ]
     bounds: BoundsDoc
 
 
 # Maximum number of log lines per second and kind.
 DEFAULT_LOG_LINES_PER_S: typing.Final = 200.0
 
+# Share of the memory for bodies of unanswered requests.  While one is sent to
+# a server, the connection holds most of it a second time.
+DEFAULT_BODY_MEMORY_SHARE: typing.Final = 0.2
+
+BYTES_PER_MB: typing.Final = 1024 * 1024
+
 
 def load_settings(path: str) -> result.Result[entry.EntrySettings, str]:
     """Read and validate a settings file."""
@@ -99,6 +109,11 @@
             log_lines_per_s=doc.get(
                 'log_lines_per_s', DEFAULT_LOG_LINES_PER_S
             ),
+            body_memory_bytes=int(
+                doc['memory_mb']
+                * BYTES_PER_MB
+                * doc.get('body_memory_share', DEFAULT_BODY_MEMORY_SHARE)
+            ),
             bounds=steering.Bounds(
                 stop_grace_s=bounds['grace_s'],
                 config_apply_s=bounds['config_apply_ms'] / 1000,
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -69,6 +69,7 @@
             state,
             platform.PlatformAdapter('').wire_format(),
             clock.SystemClock(),
+            1_000_000,
         )
         self.http_server = _connections.make_http_server(listener.handle)
         self.addAsyncCleanup(self.http_server.shutdown, 0.1)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -223,6 +223,7 @@
         'platform.address': '10.0.0.9:5',
         'platform.ttl_min_ms': 1000,
         'bootstrap': True,
+        'limits.memory_mb': 300,
         **changes,
     }
     text = (ROOT / 'deploy' / 'settings.json5').read_text(encoding='utf-8')
@@ -295,6 +296,7 @@
         self.assertEqual(settings.seed_addresses, ('10.0.0.2:3',))
         self.assertEqual(settings.bounds.key_withdrawal_s, 2.0)
         self.assertTrue(settings.first_start)
+        self.assertEqual(settings.body_memory_bytes, 60 * 1024 * 1024)
 
     def test_errors_name_the_field(self) -> None:
         """Guards against starting with invalid settings."""
@@ -302,6 +304,8 @@
             ('listen.front', 'nowhere', 'callers'),
             ('node_name', 7, 'vm'),
             ('zones', [], 'regions'),
+            ('limits.memory_mb', 0, 'memory_mb'),
+            ('limits.memory_mb', None, 'memory_mb'),
         ):
             with self.subTest(field=field):
                 parsed = _settings.parse_settings(
