Begin the sequences of splits apart; count failing first runs for copies

Causes: (1) the smooth weighted round-robin of a split began with the same destination on each VM, so that many VMs with a few requests each were all off to the same side.

Change: the sequence begins at a point that the VM's name gives, and the cost of a first run contains the probability that it takes longer than the route allows.

Ruled out: waiting beyond the route's time-out for the rest of such a run; the operator has set the time.

--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -101,7 +101,7 @@
             settings.vm, settings.first_start, settings.bounds
         )
         self.retry_budget = steering.RetryBudget(settings.bounds)
-        self.splits = steering.WeightedBalancer()
+        self.splits = steering.WeightedBalancer(settings.vm)
         self.strikes = _strikes.StrikeTable(settings.vm, time_source, log)
         self.configuration: steering.Configuration | None = None
         self.routes: steering.RouteTable | None = None
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -70,6 +70,10 @@
 OTHER_REGION_EXTRA_REQUESTS: typing.Final = 1
 
 
+# Relative deviation from the mean run time that almost no run exceeds.
+RUN_TIME_SPREAD: typing.Final = 0.3
+
+
 class Distance(enum.Enum):
     """Network distance between this VM and a server."""
 
@@ -365,11 +369,16 @@
     def crossing_costs(self, route: _model.Route) -> _copies.CrossingCosts:
         """Return what sharing a copy and what another copy costs."""
         run_times = self.route_run_times(route)
+        failure_s = (
+            FAILURE_COST_RUNS
+            * run_times.uncached_s
+            * overrun_probability(run_times.uncached_s, route.timeout_s)
+        )
         return _copies.CrossingCosts(
             self.network_cost_s(
                 Distance.SAME_REGION, run_times.exchange_bytes
             ),
-            max(0.0, run_times.uncached_s - run_times.cached_s),
+            max(0.0, run_times.uncached_s - run_times.cached_s) + failure_s,
         )
 
     def record_sent(
@@ -502,3 +511,10 @@
         # from VMs that do not know yet that the server is cold.
         rate = service.cold_per_s * self.bounds.cold_rate_factor
         return now - server.last_cold_sent_at >= sharing_vms / rate
+
+
+def overrun_probability(run_s: float, limit_s: float) -> float:
+    """Return the probability that a run with this mean exceeds a limit."""
+    excess = run_s * (1.0 + RUN_TIME_SPREAD) - limit_s
+    spread_s = 2.0 * RUN_TIME_SPREAD * max(MIN_RUN_S, run_s)
+    return min(1.0, max(0.0, excess / spread_s))
--- a/filbertstep/steering/_routes.py
+++ b/filbertstep/steering/_routes.py
@@ -6,6 +6,10 @@
 
 from filbertstep.steering import _model
 
+# Points of a sequence at which VMs begin.  More than the steps after which the
+# usual weights, whole numbers in a hundred, repeat.
+START_POINTS: typing.Final = 101
+
 
 class RouteTable:
     """Routes and API keys of one configuration.
@@ -38,16 +42,30 @@
     """Distributes a route's requests over its destinations by weight.
 
     Unlike a random choice, smooth weighted round-robin keeps each destination
-    within one request of its share at any time.
+    within one request of its share at any time.  Each VM begins at another
+    point of the sequence, given by its name: where many VMs have a few
+    requests each, those of all VMs together keep to the weights too.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
         self.credits: dict[tuple[str, str], float] = {}
+        # Weights with which the sequence of a route began.
+        self.sequences: dict[str, tuple[_model.Destination, ...]] = {}
 
     def choose_service(self, route: _model.Route) -> str:
         """Return the destination service of a route's next request."""
         if len(route.destinations) == 1:
             return route.destinations[0].service
+        if self.sequences.get(route.name) != route.destinations:
+            self.sequences[route.name] = route.destinations
+            steps = rendezvous_rank(self.vm, route.name) % START_POINTS
+            for _ in range(steps):
+                self.next_service(route)
+        return self.next_service(route)
+
+    def next_service(self, route: _model.Route) -> str:
+        """Return the next destination of the sequence of a route."""
         total = sum(destination.weight for destination in route.destinations)
         best = route.destinations[0].service
         best_credit = float('-inf')
--- a/tests/test_steering_cold_objects.py
+++ b/tests/test_steering_cold_objects.py
@@ -10,14 +10,12 @@
 import unittest
 
 from filbertstep import steering
+from filbertstep.steering import _placement
 from tests import steering_samples as samples
 
 UNCACHED_RUN_S: typing.Final = 0.88
 CACHED_RUN_S: typing.Final = 0.264
 
-# Route on which a cached run is in time and an uncached one is not.
-ROUTE: typing.Final = samples.route(target_s=0.6, timeout_s=2.0)
-
 
 class Fleet:
     """VMs in the availability zones of region a, and the servers there.
@@ -31,7 +29,10 @@
         vms_per_zone: int,
         exchange_bytes: int,
         cache_size: int,
+        timeout_s: float = 4.0,
     ) -> None:
+        # On this route, a cached run is in time and another one is not.
+        self.route = samples.route(target_s=0.6, timeout_s=timeout_s)
         self.cache_size = cache_size
         self.exchange_bytes = exchange_bytes
         self.caches: dict[str, collections.OrderedDict[str, None]] = {}
@@ -60,7 +61,7 @@
     def send(self, placement: steering.Placement, object_key: str) -> None:
         """Place a request for an object, run it, and record the answer."""
         self.now += 0.02
-        query = steering.PlacementQuery(ROUTE, 'orders', object_key, None)
+        query = steering.PlacementQuery(self.route, 'orders', object_key, None)
         best = placement.best_candidate(query, self.now)
         assert best is not None
         server_id = best.server.entry.server_id
@@ -77,7 +78,7 @@
         best.server.last_sent_at = self.now
         placement.record_sent(query, best.server, self.now)
         run_s = CACHED_RUN_S if cached else UNCACHED_RUN_S
-        run_times = placement.route_run_times(ROUTE)
+        run_times = placement.route_run_times(self.route)
         run_times.record(
             run_times.was_cached(best.cached, run_s, best.server.slowdown),
             run_s,
@@ -125,6 +126,34 @@
         self.assertLess(fleet.crossings, 20)
 
 
+class TestTightTimeouts(unittest.TestCase):
+    """Pattern: runs without the object hardly fit the time of the route."""
+
+    def test_copies_are_shared_for_longer(self) -> None:
+        """Guards against a copy whose first run fails in half of the cases."""
+        crossings = []
+        for timeout_s in (4.0, 0.9):
+            fleet = Fleet(4, 1, 4000, cache_size=25, timeout_s=timeout_s)
+            fleet.send_wave(objects=4, rounds=60)
+            crossings.append(fleet.crossings)
+        self.assertGreater(crossings[1], 1.5 * crossings[0])
+
+    def test_probability_of_an_overrun(self) -> None:
+        """Guards against a risk that is missed or where there is none."""
+        for limit_s, expected in (
+            (2.0, 0.0),
+            (1.3, 0.0),
+            (1.0, 0.5),
+            (0.7, 1.0),
+            (0.1, 1.0),
+            (float('inf'), 0.0),
+        ):
+            with self.subTest(limit_s=limit_s):
+                self.assertAlmostEqual(
+                    _placement.overrun_probability(1.0, limit_s), expected
+                )
+
+
 class TestFrequentObjects(unittest.TestCase):
     """Pattern: a few objects that are requested all the time."""
 
--- a/tests/test_steering_limits.py
+++ b/tests/test_steering_limits.py
@@ -216,10 +216,36 @@
                 steering.Destination('none', 0),
             )
         )
-        counter = steering.WeightedBalancer()
-        chosen = [counter.choose_service(route) for _ in range(20)]
-        self.assertEqual(chosen.count('one'), 18)
-        self.assertEqual(chosen.count('two'), 2)
+        for vm in ('v1', 'v2', 'v3'):
+            counter = steering.WeightedBalancer(vm)
+            chosen = [counter.choose_service(route) for _ in range(20)]
+            self.assertEqual(chosen.count('one'), 18)
+            self.assertEqual(chosen.count('two'), 2)
+
+    def test_many_vms_keep_to_the_weights_together(self) -> None:
+        """Guards against VMs that all begin with the same destination.
+
+        The VMs do not talk to each other.  Of 300 requests, a part may get
+        0.1 more or less than its weight.
+        """
+        for weights in ((50, 50), (70, 30), (90, 10), (40, 30, 30)):
+            route = samples.route(
+                destinations=tuple(
+                    steering.Destination(f's{number}', float(weight))
+                    for number, weight in enumerate(weights)
+                )
+            )
+            for vms, requests in ((30, 10), (60, 5), (100, 3), (300, 1)):
+                chosen = []
+                for vm in range(vms):
+                    counter = steering.WeightedBalancer(f'front-{vm}')
+                    chosen += [
+                        counter.choose_service(route) for _ in range(requests)
+                    ]
+                for number, weight in enumerate(weights):
+                    with self.subTest(weights=weights, vms=vms):
+                        share = chosen.count(f's{number}') / len(chosen)
+                        self.assertAlmostEqual(share, weight / 100, delta=0.1)
 
 
 class TestNearestMembers(unittest.TestCase):
