Keep a connection when starting a request early fails; tests of reports

Cause: requests that wait behind others are started where the data of the connection is parsed. An unexpected error there would close the connection and cut off the answers of the other requests (one of the operators' reports: one malformed message takes more than itself down).

Change: the error is logged, and the request is handled in its turn. Tests of two more reports, which hold on the code before too: an upload half read when a stop begins, and a request at a server whose entry lapses meanwhile.

Measured: TestFaults fails without the catch (connection closed).

--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -85,23 +85,27 @@
         """
         if not self.state.stop.rules(self.clock.now()).keeps_connections:
             return
-        for request in pipeline.waiting_to_start(self.is_repeatable):
-            message = request.message
-            http_request = connection.bodyless_request(message)
-            if self.check_limits(http_request) is not None:
-                return
-            call = self.parse_call(http_request, request.arrived_at)
-            running = _pipelines.RunningRequest(
-                call.request_id, request.arrived_at
-            )
-            self.running.add(running)
-            pipeline.early_runs[id(message)] = _pipelines.EarlyRun(
-                call,
-                running,
-                asyncio.ensure_future(
-                    self.request_handler.serve(call, read_no_body)
-                ),
-            )
+        try:
+            for request in pipeline.waiting_to_start(self.is_repeatable):
+                http_request = connection.bodyless_request(request.message)
+                if self.check_limits(http_request) is not None:
+                    return
+                call = self.parse_call(http_request, request.arrived_at)
+                running = _pipelines.RunningRequest(
+                    call.request_id, request.arrived_at
+                )
+                self.running.add(running)
+                pipeline.early_runs[id(request.message)] = _pipelines.EarlyRun(
+                    call,
+                    running,
+                    asyncio.ensure_future(
+                        self.request_handler.serve(call, read_no_body)
+                    ),
+                )
+        except Exception as error:
+            # An error here would close the connection, with the answers of
+            # other requests.  This request is handled in its turn.
+            self.log_internal_error('', error)
 
     def is_repeatable(self, request: _pipelines.PipelinedRequest) -> bool:
         """Return whether a request may run more than once."""
@@ -157,12 +161,7 @@
                 self.handle_disconnect(call, work)
                 raise
             except Exception as error:
-                self.state.log.write(
-                    'internal_error',
-                    id=call.request_id,
-                    type=type(error).__name__,
-                    trace=_supervision.innermost_frames(error),
-                )
+                self.log_internal_error(call.request_id, error)
                 reply = _messages.failure_reply(
                     errors.ErrorKind.INTERNAL, 'internal error'
                 )
@@ -173,6 +172,15 @@
             if isinstance(connection, _connections.CallerConnection):
                 self.start_early(connection, pipeline)
 
+    def log_internal_error(self, request_id: str, error: Exception) -> None:
+        """Log a fault of the program."""
+        self.state.log.write(
+            'internal_error',
+            id=request_id,
+            type=type(error).__name__,
+            trace=_supervision.innermost_frames(error),
+        )
+
     def handle_disconnect(
         self, call: _messages.Call, work: asyncio.Future[_messages.Reply]
     ) -> None:
--- a/tests/test_entry_bodies.py
+++ b/tests/test_entry_bodies.py
@@ -5,6 +5,7 @@
 import types
 import typing
 import unittest
+from unittest import mock
 
 from filbertstep import clock
 from filbertstep import errors
@@ -49,8 +50,8 @@
         return False
 
 
-class TestUploads(unittest.IsolatedAsyncioTestCase):
-    """Memory for the bodies of the requests to one VM."""
+class ListenerCase(unittest.IsolatedAsyncioTestCase):
+    """Base class: the listener for callers, in front of such a handler."""
 
     async def asyncSetUp(self) -> None:
         """Start a listener in front of the handler."""
@@ -61,7 +62,10 @@
             configuration=types.SimpleNamespace(
                 limits=steering.Limits(max_body_bytes=1_000_000)
             ),
-            routes=None,
+            routes=types.SimpleNamespace(
+                find=lambda *_: types.SimpleNamespace(idempotent=True)
+            ),
+            log=mock.Mock(),
             stop=_stopping.Stop(),
         )
         self.listener = _callers.CallerListener(
@@ -81,6 +85,15 @@
         self.addCleanup(server.close)
         self.port = server.sockets[0].getsockname()[1]
 
+    async def status(self, reader: asyncio.StreamReader) -> int:
+        """Return the status of an answer."""
+        async with asyncio.timeout(MAX_WAIT_S):
+            return int((await reader.readline()).split()[1])
+
+
+class TestUploads(ListenerCase):
+    """Memory for the bodies of the requests to one VM."""
+
     @property
     def used_bytes(self) -> int:
         """Return the bytes that the VM holds."""
@@ -110,11 +123,6 @@
         writer.write(body)
         return reader, writer
 
-    async def status(self, reader: asyncio.StreamReader) -> int:
-        """Return the status of an answer."""
-        async with asyncio.timeout(MAX_WAIT_S):
-            return int((await reader.readline()).split()[1])
-
     async def wait_until_used(self, expected: int) -> None:
         """Wait until the VM holds this many bytes."""
         async with asyncio.timeout(MAX_WAIT_S):
--- a/tests/test_entry_pipelines.py
+++ b/tests/test_entry_pipelines.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from filbertstep.entry import _pipelines
+from tests import test_entry_bodies
 from tests import test_entry_program
 from tests import test_entry_stop
 from tests import test_forward
@@ -95,6 +96,33 @@
         self.assertEqual(pipeline.waiting_to_start(lambda _: True), requests)
 
 
+class TestFaults(test_entry_bodies.ListenerCase):
+    """Unexpected errors while a request is started early."""
+
+    async def test_the_other_requests_are_answered(self) -> None:
+        """Guards against an error that closes the connection."""
+        parse_call = self.listener.parse_call
+        errors: list[Exception] = [RuntimeError('early')]
+
+        def parse_with_error(*arguments: typing.Any) -> typing.Any:
+            """Fail once; Any: passes on what it gets."""
+            if errors:
+                raise errors.pop()
+            return parse_call(*arguments)
+
+        self.handler.answering.set()
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        with mock.patch.object(self.listener, 'parse_call', parse_with_error):
+            writer.write(request_head('a') + request_head('b'))
+            for _ in range(2):
+                self.assertEqual(await self.status(reader), 200)
+                await reader.readuntil(b'done')
+        self.assertEqual(errors, [])
+        log: typing.Any = self.listener.state.log
+        self.assertEqual(log.write.call_args.args, ('internal_error',))
+
+
 class TestPipelinedRequests(test_entry_stop.StopCase):
     """A VM whose caller does not wait for answers."""
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -644,6 +644,21 @@
         self.assertEqual((await running).status, 200)
         self.assertEqual(len(self.forwarder.attempts), 2)
 
+    async def test_work_of_a_silent_server_is_not_started_again(self) -> None:
+        """Guards against repeating what a server is still running.
+
+        Its entry lapses while it runs a request, as if it had ended.
+        """
+        for idempotent in (True, False):
+            with self.subTest(idempotent=idempotent):
+                self.build(0.2, idempotent=idempotent)
+                running = asyncio.ensure_future(self.serve())
+                await asyncio.sleep(0.05)
+                self.state.servers.remove(self.sent_to()[0])
+                self.assertEqual((await running).status, 200)
+                self.assertEqual(len(self.forwarder.attempts), 1)
+                self.assertEqual(self.forwarder.cancelled_attempts, 0)
+
     async def test_waiting_request_is_not_sent_there(self) -> None:
         """Guards against dispatching a queued request to such a server."""
         self.build(target_s=4.0, timeout_s=10.0)
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -184,6 +184,33 @@
         stopped = await self.finish()
         self.assertEqual((stopped['refused'], stopped['running']), (1, 0))
 
+    async def test_upload_half_read_at_the_signal_is_not_given_up(
+        self,
+    ) -> None:
+        """Guards against passing on an upload that the exit cuts off.
+
+        The rest of one body arrives early enough for a long run, that of the
+        other does not; none has a server when the signal comes.
+        """
+        self.delay_s = 0.1
+        head = (
+            'POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            'X-Request-Id: {}\r\nX-Deadline-Ms: 9000\r\n'
+            f'Authorization: Bearer {KEY}\r\nContent-Length: 900\r\n\r\n'
+        )
+        early, late = await self.connect(), await self.connect()
+        for caller, name in ((early, 'early'), (late, 'late')):
+            caller.writer.write(head.format(name).encode() + b'x' * 450)
+        await asyncio.sleep(0.1)
+        await self.request_stop()
+        early.writer.write(b'x' * 450)
+        self.assertEqual((await early.read_answer())[0], 200)
+        await asyncio.sleep(0.8 * GRACE_S)
+        late.writer.write(b'x' * 450)
+        self.assertEqual((await late.read_answer())[0], 503)
+        await self.finish()
+        self.assertEqual(self.passed_on(), ['early'])
+
     async def test_requests_that_wait_in_the_kernel_are_answered(self) -> None:
         """Guards against resetting connections whose requests were not read.
 
