Add an emulator that plays load patterns with the real decisions

Change: filbertstep-emulate plays a scenario file (servers with slots, queues and caches, links, callers with deadlines and retries, seven kinds of events) in virtual time, drives the request handlers of all VMs, reports credit by kind, zone and window, and compares two policies on the same seeds, as table, JSON or plot. Six example scenarios, each with a test that names its pattern. The virtual event loop moves from the tests into it.

--- a/tests/virtual_time.py
+++ b/filbertstep/emulator/_virtual_time.py
@@ -1,4 +1,4 @@
-"""Event loop for tests that advances a fake clock instead of waiting."""
+"""Event loop that advances a fake clock instead of waiting."""
 
 import asyncio
 import selectors
--- a/filbertstep/entry/__init__.py
+++ b/filbertstep/entry/__init__.py
@@ -23,4 +23,13 @@
 from filbertstep.entry._contracts import StoreFault as StoreFault
 from filbertstep.entry._contracts import StoreResult as StoreResult
 from filbertstep.entry._contracts import WireFormat as WireFormat
+from filbertstep.entry._load_exchange import LoadDoc as LoadDoc
+from filbertstep.entry._load_exchange import LoadExchange as LoadExchange
+from filbertstep.entry._load_exchange import loads_answer as loads_answer
+from filbertstep.entry._log import DecisionLog as DecisionLog
+from filbertstep.entry._messages import Call as Call
+from filbertstep.entry._messages import Reply as Reply
 from filbertstep.entry._program import run as run
+from filbertstep.entry._requests import RequestHandler as RequestHandler
+from filbertstep.entry._state import State as State
+from filbertstep.entry._tries import AttemptSender as AttemptSender
--- a/tests/agreement_cluster.py
+++ b/tests/agreement_cluster.py
@@ -16,11 +16,11 @@
 from filbertstep import clock
 from filbertstep import codec
 from filbertstep import config
+from filbertstep import emulator
 from filbertstep import errors
 from filbertstep import store
 from filbertstep import systems
 from filbertstep import transport
-from tests import virtual_time
 
 NETWORK_DELAY_S: typing.Final = 0.012
 
@@ -279,7 +279,7 @@
 
     def __init__(self, count: int, seed: int = 1) -> None:
         self.clock = clock.FakeClock()
-        self.loop = virtual_time.VirtualLoop(self.clock)
+        self.loop = emulator.VirtualLoop(self.clock)
         self.rng = random.Random(seed)
         self.store = RecordingStore(self.clock)
         self.vm_list = agreement.FakeVmList()
--- a/tests/caching_fleet.py
+++ b/tests/caching_fleet.py
@@ -13,6 +13,7 @@
 
 from filbertstep import clock
 from filbertstep import delivery
+from filbertstep import emulator
 from filbertstep import metrics
 from filbertstep import platform
 from filbertstep import steering
@@ -25,7 +26,6 @@
 from tests import entry_samples
 from tests import steering_samples as samples
 from tests import test_entry_knowledge
-from tests import virtual_time
 
 # One-way network times between regions, and between VMs and servers of one.
 REMOTE_DELAY_S: typing.Final = 0.012
@@ -246,7 +246,7 @@
 
     def run(self, seconds: float) -> None:
         """Let callers send requests for a time, and wait for the answers."""
-        loop = virtual_time.VirtualLoop(self.clock)
+        loop = emulator.VirtualLoop(self.clock)
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
             runner.run(self.play(seconds))
 
--- a/tests/test_entry_pauses.py
+++ b/tests/test_entry_pauses.py
@@ -7,10 +7,10 @@
 
 from filbertstep import clock
 from filbertstep import delivery
+from filbertstep import emulator
 from filbertstep import errors
 from tests import steering_samples as samples
 from tests import test_entry_requests
-from tests import virtual_time
 
 ErrorKind = errors.ErrorKind
 
@@ -302,7 +302,7 @@
     def test_full_servers_get_at_most_two_requests_in_a_pause(self) -> None:
         """Guards against VMs that keep a full server busy with refusals."""
         self.fake_clock = clock.FakeClock()
-        loop = virtual_time.VirtualLoop(self.fake_clock)
+        loop = emulator.VirtualLoop(self.fake_clock)
         self.addCleanup(loop.close)
         self.build(public=True, target_s=0.6, timeout_s=3.0, max_attempts=3)
         replies = loop.run_until_complete(self.send_burst())
