Start nothing early behind a request that closes its connection

Cause: found on reading the change once more. A caller that sends more behind a request with Connection: close gets no answer to it, but it was passed on.

Measured: the new rows of test_only_repeatable_requests_behind_such_start_early fail without the check.

--- a/filbertstep/entry/_pipelines.py
+++ b/filbertstep/entry/_pipelines.py
@@ -90,6 +90,9 @@
             key = id(request.message)
             if key != self.handled and key not in self.early_runs:
                 ready.append(request)
+            if request.message.should_close:
+                # Nothing behind it is answered.
+                break
         return ready
 
     def finish(self, key: int) -> None:
--- a/tests/test_entry_pipelines.py
+++ b/tests/test_entry_pipelines.py
@@ -31,9 +31,13 @@
 class TestPipeline(unittest.TestCase):
     """Which of the unanswered requests of a connection may run at once."""
 
-    def build_request(self, has_body: bool) -> _pipelines.PipelinedRequest:
+    def build_request(
+        self, has_body: bool, closes: bool = False
+    ) -> _pipelines.PipelinedRequest:
         """Return a request."""
-        return _pipelines.PipelinedRequest(mock.Mock(), 1.0, has_body)
+        return _pipelines.PipelinedRequest(
+            mock.Mock(should_close=closes), 1.0, has_body
+        )
 
     def build_pipeline(
         self, requests: list[_pipelines.PipelinedRequest]
@@ -48,7 +52,8 @@
         """Guards against running what its caller will send again.
 
         A letter stands for a request: r for repeatable, o for once only, b for
-        repeatable with a body.  The first one is being handled.
+        repeatable with a body, c for repeatable that closes the connection.
+        The first one is being handled.
         """
         for kinds, expected in (
             ('r', ''),
@@ -59,11 +64,16 @@
             ('rror', '1'),
             ('rbr', ''),
             ('brr', ''),
+            ('cr', ''),
+            ('rcr', '1'),
             # At most four run at the same time.
             ('rrrrrr', '123'),
         ):
             with self.subTest(kinds=kinds):
-                requests = [self.build_request(kind == 'b') for kind in kinds]
+                requests = [
+                    self.build_request(kind == 'b', kind == 'c')
+                    for kind in kinds
+                ]
                 pipeline = self.build_pipeline(requests)
                 pipeline.handled = id(requests[0].message)
                 once = [
