Show that given-up requests reach an evacuated zone

Requests that the machines had given up were delivered some 7 s after they were sent, more than 5 s after the acknowledgement of the evacuation.

--- a/review/standins/cases.py
+++ b/review/standins/cases.py
@@ -17,9 +17,10 @@
 from review.standins import store as stores
 from review.standins import upstreams
 
-BROKEN: typing.Final = 1
+# Exit codes, which ``run.sh`` maps: Python itself ends with 1 on an error.
+BROKEN: typing.Final = 10
 HELD: typing.Final = 0
-NOT_RUN: typing.Final = 2
+NOT_RUN: typing.Final = 11
 
 KEY: typing.Final = 'b9wu3fexd9dnn2ctnfzs'
 
@@ -167,7 +168,7 @@
             'service': service,
             'timeout_ms': options.get('timeout_ms', 1500),
             'attempts': 2,
-            'home_regions': [],
+            'home_regions': options.get('home_regions', []),
         },
     }
 
