--- a/review/standins/cases.py
+++ b/review/standins/cases.py
@@ -41,6 +41,9 @@
         self.upstreams: list[upstreams.Upstream] = []
         self.clients: list[clients.Client] = []
         self.version = 1
+        # Limit of the tenant; 0 means none.
+        self.rate_per_s = 0
+        self.burst = 0
         self.session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
@@ -101,8 +104,8 @@
                         'name': 'kaje80',
                         'api_keys': [KEY],
                         'priority': 1,
-                        'rate_per_s': 0,
-                        'burst': 0,
+                        'rate_per_s': self.rate_per_s,
+                        'burst': self.burst,
                         'home_regions': [],
                     }
                 ],
