--- a/review/standins/cases.py
+++ b/review/standins/cases.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import signal
 import tempfile
 import traceback
 import typing
@@ -196,6 +197,11 @@
 async def play_case(case: str, play: Play) -> int:
     """Run a case and return the exit code."""
     deployment = Deployment(case)
+    running = asyncio.current_task()
+    assert running is not None
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, running.cancel
+    )
     try:
         async with asyncio.timeout(LIMIT_S):
             await deployment.open()
