Reserve the ports of the stand-ins

Beside three other cases a machine of case 3 was not ready in 20 s, probably as another case had taken one of its ports. Ports stay bound from their choice on.

--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -47,21 +47,23 @@
     'burnie-b': 'burnie',
 }
 
-used_ports: set[int] = set()
+# Bound, but not listening, so that cases beside each other take other ports.
+reserved: list[socket.socket] = []
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on."""
+    """Reserve a port that nobody uses, and return it."""
     while True:
         port = random.randint(FIRST_PORT, LAST_PORT)
-        if port in used_ports:
+        holder = socket.socket()
+        try:
+            holder.bind(('127.0.0.1', port))
+        except OSError:
+            holder.close()
             continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        used_ports.add(port)
+        # Lets the program bind the port too.
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.append(holder)
         return port
 
 
