Log the keys that make look-ups name a VM

The log could not tell three hypotheses apart: (1) the key of the VM was replaced after its registration, (2) its lease was not renewed, (3) the key was there and the table of VMs wrong. Each change of a key vms/NAME is a line now, with its revision and the lease that its value names.

--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -37,7 +37,8 @@
 class MemberDoc(typing.TypedDict):
     """Value of ``vms/NAME``; ``callers`` and ``peers`` are addresses.
 
-    ``era`` is the era of the store in which the VM registered.
+    ``era`` is the era of the store in which the VM registered, ``lease`` the
+    id of the lease that the key was written with.
     """
 
     availability_zone: str
@@ -45,6 +46,7 @@
     callers: str
     peers: str
     era: typing.NotRequired[int]
+    lease: typing.NotRequired[int]
 
 
 class MemberTable:
@@ -170,6 +172,7 @@
             'callers': self.own.callers,
             'peers': self.own.peers,
             'era': lease.era,
+            'lease': lease.lease_id,
         }
         key = VM_PREFIX + self.own.vm
         if self.fleet_era != lease.era:
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -141,6 +141,7 @@
             return
         if apply is None:
             self.members.apply_change(change, self.clock.now())
+            self.log_member(change)
             self.update_vm_shares()
             return
         decoded_value: object = None
@@ -160,6 +161,21 @@
                 decoded_value = decoded.ok_value
         apply(parsed_key, decoded_value)
 
+    def log_member(self, change: _contracts.Change) -> None:
+        """Log a change of the key that makes look-ups name a VM."""
+        if not change.key.startswith(_membership.VM_PREFIX):
+            return
+        doc = _membership.decode_member(change.value)
+        name = change.key[len(_membership.VM_PREFIX) :]
+        self.log.write(
+            'vm_key',
+            name=name,
+            listed=name in self.members.live,
+            lease=doc.get('lease') if doc else None,
+            era=change.era,
+            revision=change.revision,
+        )
+
     def update_vm_shares(self) -> None:
         """Divide quotas and retry budgets among the VMs that may use them."""
         vms_with_quota = self.members.vms_with_quota(self.settings.vm)
