Keep the lease of a failed registration, and watch the own keys

Cause: a registration without an answer gave its lease up and went on with another one. The store executed the first write late, which moved the key to the lease that nobody renewed, and nothing looked at the key again.

Why it works: a VM holds one lease at a time and retries under it, so that its late write changes nothing; the end of the lease at a stop rejects what comes later. What a former process left behind, and the late removal of fleet/NAME, show in the replica, and the key is written again.

--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -107,8 +107,11 @@
         self,
         writes: collections.abc.Mapping[str, bytes],
         lease: Lease | None = None,
-    ) -> StoreResult[int]:
-        """Write all keys in one transaction; return its revision."""
+    ) -> StoreResult[Position]:
+        """Write all keys in one transaction; return its position.
+
+        After UNAVAILABLE, the store may still execute the write seconds later.
+        """
 
     @abc.abstractmethod
     async def delete_if_unchanged(
--- a/filbertstep/entry/_membership.py
+++ b/filbertstep/entry/_membership.py
@@ -17,7 +17,9 @@
 from filbertstep import codec
 from filbertstep import steering
 from filbertstep.entry import _contracts
+from filbertstep.entry import _knowledge
 from filbertstep.entry import _log
+from filbertstep.entry import _own_keys
 
 VM_PREFIX: typing.Final = 'vms/'
 FLEET_PREFIX: typing.Final = 'fleet/'
@@ -122,8 +124,10 @@
 class Registration:
     """Keeps this VM's keys in the store while it serves.
 
-    ``lease`` is None while there is none.  A lease that a peer renews on
-    behalf of this VM counts as renewed (see ``_sync``).
+    ``lease`` is None while there is none.  It is kept while a write under it
+    fails: the store may still execute the write, and the key must then hang on
+    a lease that this VM renews.  A lease that a peer renews on behalf of this
+    VM counts as renewed (see ``_sync``).
     """
 
     def __init__(
@@ -131,6 +135,7 @@
         store: _contracts.StoreClient,
         own: steering.Member,
         members: MemberTable,
+        replica: _knowledge.StoreReplica,
         time_source: clock.Clock,
         log: _log.DecisionLog,
     ) -> None:
@@ -140,16 +145,16 @@
         self.clock = time_source
         self.log = log
         self.lease: _contracts.Lease | None = None
-        # Era of the store in which ``fleet/NAME`` was written.
-        self.fleet_era: int | None = None
+        self.vm_key = _own_keys.OwnKey(VM_PREFIX + own.vm, store, replica)
+        self.fleet_key = _own_keys.OwnKey(
+            FLEET_PREFIX + own.vm, store, replica
+        )
         self.stopping = False
 
     async def run(self) -> None:
-        """Register, renew the lease, and register again if it was lost."""
+        """Keep this VM registered until it stops."""
         while not self.stopping:
-            registered = await (
-                self.renew(self.lease) if self.lease else self.register()
-            )
+            registered = await self.register()
             if registered:
                 await self.remove_departed_vms()
             await asyncio.sleep(
@@ -159,14 +164,37 @@
             )
 
     async def register(self) -> bool:
-        """Write this VM's keys under a new lease; return if that succeeded."""
+        """Hold a lease and keep this VM's keys; return if that succeeded."""
+        held = await (
+            self.renew(self.lease) if self.lease else self.request_lease()
+        )
+        # A stop may have begun meanwhile, which gives the lease up.
+        lease = self.lease
+        return (
+            held
+            and lease is not None
+            and await self.write_key('count', self.fleet_key, b'')
+            and await self.write_key(
+                'write',
+                self.vm_key,
+                msgspec.json.encode(self.member_doc(lease)),
+                lease,
+            )
+        )
+
+    async def request_lease(self) -> bool:
+        """Request a lease; return whether it was granted."""
         granted = await self.store.grant_lease(LEASE_TTL_S)
         if isinstance(granted, result.Err):
             return self.log_failure('grant', granted.err_value)
         if self.stopping:
             return False
-        lease = granted.ok_value
-        doc: MemberDoc = {
+        self.lease = granted.ok_value
+        return True
+
+    def member_doc(self, lease: _contracts.Lease) -> MemberDoc:
+        """Return the value of ``vms/NAME`` under a lease."""
+        return {
             'availability_zone': self.own.availability_zone,
             'region': self.own.region,
             'callers': self.own.callers,
@@ -174,29 +202,32 @@
             'era': lease.era,
             'lease': lease.lease_id,
         }
-        key = VM_PREFIX + self.own.vm
-        if self.fleet_era != lease.era:
-            fleet_written = await self.store.write(
-                {FLEET_PREFIX + self.own.vm: b''}
-            )
-            if isinstance(fleet_written, result.Err):
-                return self.log_failure('count', fleet_written.err_value)
-            self.fleet_era = lease.era
-        written = await self.store.write(
-            {key: msgspec.json.encode(doc)}, lease=lease
-        )
+
+    async def write_key(
+        self,
+        step: str,
+        own_key: _own_keys.OwnKey,
+        value: bytes,
+        lease: _contracts.Lease | None = None,
+    ) -> bool:
+        """Write a key if the store lacks the value; return if it has it."""
+        if not own_key.needs_write(value):
+            return True
+        lost = own_key.is_lost()
+        written = await own_key.write(value, lease)
         if isinstance(written, result.Err):
-            return self.log_failure('write', written.err_value)
-        self.lease = lease
-        self.log.write('registered', era=lease.era, lease=lease.lease_id)
-        await self.revoke_if_stopping()
+            if written.err_value is _contracts.StoreFault.LEASE_GONE:
+                self.lease = None
+            return self.log_failure(step, written.err_value)
+        self.log.write(
+            'registered',
+            key=own_key.key,
+            lost=lost,
+            era=self.store.era,
+            lease=lease.lease_id if lease else None,
+        )
         return True
 
-    async def revoke_if_stopping(self) -> None:
-        """End the lease if a stop began during the registration."""
-        if self.stopping:
-            await self.deregister()
-
     async def renew(self, lease: _contracts.Lease) -> bool:
         """Renew the lease; return whether it succeeded.
 
@@ -208,8 +239,6 @@
         if renewed.err_value is _contracts.StoreFault.LEASE_GONE:
             self.log.write('lease_lost', era=lease.era, lease=lease.lease_id)
             self.lease = None
-            if self.own.vm not in self.members.fleet:
-                self.fleet_era = None
             return False
         return self.log_failure('renew', renewed.err_value)
 
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -81,6 +81,7 @@
             self.store,
             self.own_member,
             self.state.members,
+            self.state.replica,
             self.clock,
             self.log,
         )
--- a/filbertstep/platform/_store.py
+++ b/filbertstep/platform/_store.py
@@ -242,8 +242,8 @@
         self,
         writes: collections.abc.Mapping[str, bytes],
         lease: entry.Lease | None = None,
-    ) -> entry.StoreResult[int]:
-        """Write several keys in one transaction; return the revision."""
+    ) -> entry.StoreResult[entry.Position]:
+        """Write several keys in one transaction; return its position."""
         if lease is not None and lease.era != self.era:
             return result.Err(entry.StoreFault.LEASE_GONE)
         items = [
@@ -255,9 +255,10 @@
             for key, value in writes.items()
         ]
         written = await self.transact(writes=items)
-        if lease is not None and lease.era != self.era:
+        era = self.era
+        if lease is not None and lease.era != era:
             return result.Err(entry.StoreFault.LEASE_GONE)
-        return written
+        return written.map(lambda revision: entry.Position(era, revision))
 
     async def delete_if_unchanged(
         self, key: str, position: entry.Position
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -34,7 +34,9 @@
     It implements the platform's documented interface.  Tests inject failures:
     a nonzero ``status`` is the answer to every call, ``unresponsive`` leaves
     all calls unanswered, ``drop_write_replies`` executes writes but closes the
-    connection instead of answering, and ``delay_s`` delays each call.
+    connection instead of answering, and ``delay_s`` delays each call.  The
+    next transaction that writes a key of ``lost_keys`` is not answered; the
+    test executes it later with ``execute_late_writes``.
     """
 
     def __init__(self) -> None:
@@ -55,6 +57,8 @@
         self.status = 0
         self.unresponsive = False
         self.drop_write_replies = False
+        self.lost_keys: set[str] = set()
+        self.late_writes: list[dict[str, typing.Any]] = []
         self.delay_s = 0.0
         self.calls: dict[str, int] = {}
         self.runner: web.AppRunner | None = None
@@ -195,7 +199,9 @@
     def expire_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
         for key in self.leases.pop(lease, []):
-            self.delete(key)
+            # The key may have been written again under another lease.
+            if self.items.get(key, {}).get('lease') == lease:
+                self.delete(key)
 
     def extend_lease(self, lease: int) -> None:
         """Extend a lease to its full lifetime from now."""
@@ -261,8 +267,24 @@
         )
 
     async def handle_transaction(self, request: web.Request) -> web.Response:
-        """Commit a transaction if its conditions hold."""
+        """Commit a transaction, or lose its answer."""
         body = json.loads(await request.read())
+        lost = self.lost_keys & {write['key'] for write in body['writes']}
+        if lost:
+            self.lost_keys -= lost
+            self.late_writes.append(body)
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response(status=503)
+        return self.commit(body)
+
+    def execute_late_writes(self) -> list[int]:
+        """Execute the transactions without an answer; return the statuses."""
+        late, self.late_writes = self.late_writes, []
+        return [self.commit(body).status for body in late]
+
+    def commit(self, body: dict[str, typing.Any]) -> web.Response:
+        """Commit a transaction if its conditions hold."""
         for condition in body['expect_rev']:
             item = self.items.get(condition['key'])
             if (item['revision'] if item else 0) != condition['revision']:
@@ -270,6 +292,7 @@
         for write in body['writes']:
             if write['lease'] and write['lease'] not in self.leases:
                 return web.Response(status=404)
+        for write in body['writes']:
             self.put(
                 write['key'], base64.b64decode(write['value']), write['lease']
             )
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -518,8 +518,8 @@
         self.assertNotIn(secret, line)
 
 
-class TestStoreSync(unittest.IsolatedAsyncioTestCase):
-    """Two VMs and a store that one of them may be unable to reach."""
+class SyncCase(unittest.IsolatedAsyncioTestCase):
+    """A store, and a VM to which others can connect as a peer."""
 
     async def asyncSetUp(self) -> None:
         """Start a store, and a VM with a peer listener."""
@@ -571,6 +571,7 @@
             client,
             samples.member(name),
             members,
+            replica,
             self.clock,
             self.log,
         )
@@ -595,6 +596,10 @@
             while not condition():
                 await asyncio.sleep(0.02)
 
+
+class TestStoreSync(SyncCase):
+    """Two VMs and a store that one of them may be unable to reach."""
+
     async def test_store_changes_arrive(self) -> None:
         """Changes of the configuration must arrive in the replica."""
         self.store.put('op/config', b'1')
