Bound how long a VM follows the reader of its zone

Cause: relayed content was accepted up to an age of 2.0 s, the bound itself, and used until the next question 0.4 s later, or 1.2 s later if the reader was silent. The 2.0 s did not follow the setting.

Ruled out: ages that are counted wrongly, and a slow read.

Why it works: the VM reads at a time, not at the next answer: when its content is three quarters as old as config_apply_ms allows. Watches and questions follow the same setting, so that a reader without fault keeps below that in a quiet store. The read continues from the relayed position. Answers that state a negative age are rejected.

--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -92,6 +92,7 @@
             self.registration,
             settings.seed_addresses,
             self.session,
+            settings.bounds.config_apply_s,
             self.clock,
             self.log,
         )
@@ -268,6 +269,7 @@
             return
         self.settings = settings
         self.state.set_settings(settings)
+        self.store_sync.config_apply_s = settings.bounds.config_apply_s
         self.log.write('reload', reason=reason, changed=True)
 
     def request_stop(self) -> None:
--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -21,10 +21,17 @@
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
 
-# Each answer to a watch, empty or not, confirms that the replica was current
-# when the watch was sent, so the replica gets up to two waits old.  That must
-# stay below the bound on applying a configuration.
+# Limits of ``SyncTimes``: longer waits would gain little.
 MAX_WATCH_WAIT_S: typing.Final = 0.9
+MAX_FOLLOW_INTERVAL_S: typing.Final = 0.4
+
+# ``SyncTimes`` as shares of the bound on applying a configuration.  A replica
+# gets two watch waits old; with one more interval, a follower's replica must
+# stay younger than ``FOLLOWED_AGE_SHARE`` while nothing fails.  The rest up to
+# the bound is left for reading the store after the reader has failed.
+WATCH_WAIT_SHARE: typing.Final = 0.2
+FOLLOW_INTERVAL_SHARE: typing.Final = 0.2
+FOLLOWED_AGE_SHARE: typing.Final = 0.75
 
 # Lets one answer carry several changes when they are frequent.  Well below the
 # bound on applying a configuration.
@@ -48,11 +55,6 @@
 # hide an outage.
 MAX_RELAYED_AGE_S: typing.Final = 3.0
 
-FOLLOW_INTERVAL_S: typing.Final = 0.4
-
-# A reader of the zone whose content is older counts as failed.
-MAX_FOLLOWED_AGE_S: typing.Final = 2.0
-
 # How long a VM reads the store itself after the reader of its zone failed.
 DIRECT_READ_S: typing.Final = 3.0
 
@@ -67,6 +69,11 @@
 KNOWLEDGE_PATH: typing.Final = '/knowledge'
 
 
+# An age of a peer's content.  A negative one would make content look newer
+# than its fetch.
+Age = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 class ChangeDoc(typing.TypedDict):
     """A change as sent between peers; ``value`` is base64, null if deleted."""
 
@@ -84,16 +91,41 @@
     requested position, else the full content.
     """
 
-    age_s: float
-    documents_age_s: float | None
+    age_s: Age
+    documents_age_s: Age | None
     era: int
     revision: int
     partial: bool
     changes: list[ChangeDoc]
 
 
+class SyncTimes(typing.NamedTuple):
+    """How long a VM waits for changes, in seconds.
+
+    ``watch_wait_s`` is the longest wait of a watch in the store and
+    ``follow_interval_s`` the time between two fetches from the zone's reader.
+    A follower whose replica is ``max_followed_age_s`` old reads the store.
+    """
+
+    watch_wait_s: float
+    follow_interval_s: float
+    max_followed_age_s: float
+
+
+def sync_times(config_apply_s: float) -> SyncTimes:
+    """Return the times that keep to the bound on applying a configuration."""
+    return SyncTimes(
+        min(MAX_WATCH_WAIT_S, WATCH_WAIT_SHARE * config_apply_s),
+        min(MAX_FOLLOW_INTERVAL_S, FOLLOW_INTERVAL_SHARE * config_apply_s),
+        FOLLOWED_AGE_SHARE * config_apply_s,
+    )
+
+
 class StoreSync:
-    """Reads the store, or fetches from peers if that is not possible."""
+    """Reads the store, or fetches from peers if that is not possible.
+
+    ``config_apply_s`` is the bound on applying a configuration.
+    """
 
     def __init__(
         self,
@@ -103,6 +135,7 @@
         registration: _membership.Registration,
         seed_addresses: tuple[str, ...],
         session: aiohttp.ClientSession,
+        config_apply_s: float,
         time_source: clock.Clock,
         log: _log.DecisionLog,
     ) -> None:
@@ -112,11 +145,12 @@
         self.registration = registration
         self.seed_addresses = seed_addresses
         self.session = session
+        self.config_apply_s = config_apply_s
         self.clock = time_source
         self.log = log
         self.connected = False
         self.retry_delay_s = INITIAL_RETRY_DELAY_S
-        self.listed = False
+        self.history_gone = False
         # Eras that followed the first one that was seen.
         self.restores = 0
         self.relay_peer = ''
@@ -126,14 +160,12 @@
     async def run_store(self) -> None:
         """Keep the replica current in an endless loop.
 
-        Follows the zone's reader if there is one, else lists the store once
-        and then watches it.
+        Follows the zone's reader if there is one, else reads the store.
         """
         while True:
             started = self.clock.now()
             reader = self.zone_reader(started)
             if reader and await self.follow_reader(reader):
-                await asyncio.sleep(FOLLOW_INTERVAL_S)
                 continue
             fault = await self.read_store()
             if fault is None:
@@ -145,7 +177,7 @@
                 await asyncio.sleep(max(0.0, remaining_s))
                 continue
             if fault is _contracts.StoreFault.HISTORY_GONE:
-                self.listed = False
+                self.history_gone = True
             self.set_connected(False, fault)
             await asyncio.sleep(self.retry_delay_s * random.uniform(0.5, 1.0))
             self.retry_delay_s = min(
@@ -171,15 +203,28 @@
         return '' if first == own.vm else live[first].peers
 
     async def follow_reader(self, reader: str) -> bool:
-        """Fetch from the reader; return if the replica is recent enough."""
-        answered = await self.fetch_from_peer(reader)
-        now = self.clock.now()
-        if answered and self.replica.age(now) < MAX_FOLLOWED_AGE_S:
+        """Fetch from the reader, and wait for the time of the next fetch.
+
+        Returns False as soon as this VM must read the store itself, whether
+        the reader answers old content or none.
+        """
+        times = sync_times(self.config_apply_s)
+        started = self.clock.now()
+        fresh_at = self.replica.fresh_at
+        if fresh_at == float('-inf'):
+            # The first content; this VM uses none until then.
+            fresh_at = started
+        answered = await self.fetch_from_peer(
+            reader, within_s=fresh_at + times.max_followed_age_s - started
+        )
+        left_s = times.max_followed_age_s - self.replica.age(self.clock.now())
+        if answered and left_s > 0:
             if self.followed_peer != reader:
                 self.log.write(
                     'following', peer=reader, age_s=self.rounded_age()
                 )
             self.followed_peer = reader
+            await asyncio.sleep(min(times.follow_interval_s, left_s))
             return True
         self.log.write(
             'following_ended',
@@ -188,25 +233,32 @@
             age_s=self.rounded_age(),
         )
         self.followed_peer = ''
-        self.follow_after = now + DIRECT_READ_S
+        self.follow_after = self.clock.now() + DIRECT_READ_S
         return False
 
     async def read_store(self) -> _contracts.StoreFault | None:
-        """List the store the first time, then watch it for changes.
+        """Watch the store for changes, or list it if that is not possible.
 
-        Returns None, or the fault of a failed call.
+        Content that peers relayed is complete and need not be listed.  Returns
+        None, or the fault of a failed call.
         """
         sent_at = self.clock.now()
         position = self.replica.position
-        if not self.listed or self.store.era != position.era:
+        if (
+            self.history_gone
+            or position == _knowledge.START
+            or self.store.era > position.era
+        ):
             listed = await self.store.list('')
             if isinstance(listed, result.Err):
                 return listed.err_value
-            self.listed = True
+            self.history_gone = False
             self.replica.replace(listed.ok_value, sent_at, self.clock.now())
             self.log_new_era(position)
             return None
-        watched = await self.store.watch('', position, MAX_WATCH_WAIT_S)
+        watched = await self.store.watch(
+            '', position, sync_times(self.config_apply_s).watch_wait_s
+        )
         if isinstance(watched, result.Err):
             return watched.err_value
         self.replica.apply(watched.ok_value, sent_at, self.clock.now())
@@ -336,13 +388,19 @@
                 return
 
     async def fetch_from_peer(
-        self, address: str, lease: _contracts.Lease | None = None
+        self,
+        address: str,
+        lease: _contracts.Lease | None = None,
+        within_s: float = RELAY_TOTAL_TIMEOUT_S,
     ) -> bool:
         """Fetch what a peer knows and apply it if it is more recent.
 
-        Returns whether the peer answered.  If ``lease`` is given, the peer
-        also renews it on behalf of this VM, which cannot reach the store.
+        Returns whether the peer answered within ``within_s`` seconds.  If
+        ``lease`` is given, the peer also renews it on behalf of this VM, which
+        cannot reach the store.
         """
+        if within_s <= 0:
+            return False
         sent_at = self.clock.now()
         position = self.replica.position
         if self.replica.documents_age(sent_at) == float('inf'):
@@ -357,7 +415,7 @@
                 f'http://{address}{KNOWLEDGE_PATH}',
                 params=params,
                 timeout=aiohttp.ClientTimeout(
-                    total=RELAY_TOTAL_TIMEOUT_S,
+                    total=min(RELAY_TOTAL_TIMEOUT_S, within_s),
                     connect=RELAY_IDLE_TIMEOUT_S,
                     sock_read=RELAY_IDLE_TIMEOUT_S,
                 ),
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -530,7 +530,9 @@
         self.session = aiohttp.ClientSession()
         self.tasks: list[asyncio.Task[None]] = []
         self.peer = self.vm('v2', self.store.address)
-        self.runner = web.ServerRunner(web.Server(self.relay))
+        self.runner = web.ServerRunner(
+            web.Server(lambda request: self.relay(request))
+        )
         await self.runner.setup()
         site = web.TCPSite(self.runner, '127.0.0.1', 0)
         await site.start()
@@ -558,7 +560,7 @@
         return await listener.handle(request)
 
     def vm(self, name: str, store: str, *seeds: str) -> _sync.StoreSync:
-        """Return the store sync of a VM."""
+        """Return the store sync of a VM, with the bounds of the samples."""
         client = _store.PlatformStoreClient(
             f'http://{store}', self.session, 1.0
         )
@@ -582,6 +584,7 @@
             registration,
             seeds,
             self.session,
+            samples.BOUNDS.config_apply_s,
             self.clock,
             self.log,
         )
@@ -596,6 +599,12 @@
             while not condition():
                 await asyncio.sleep(0.02)
 
+    def add_zone_members(self, sync: _sync.StoreSync, *names: str) -> None:
+        """Add VMs of one zone to a VM's members, with the peer's address."""
+        for name in names:
+            row = samples.member(name)._replace(peers=self.peer_address)
+            sync.members.live[name] = row
+
 
 class TestStoreSync(SyncCase):
     """Two VMs and a store that one of them may be unable to reach."""
@@ -670,12 +679,6 @@
         self.assertTrue(await isolated.fetch_from_peer(self.peer_address))
         self.assertGreaterEqual(isolated.replica.age(self.clock.now()), 2.5)
 
-    def add_zone_members(self, sync: _sync.StoreSync, *names: str) -> None:
-        """Add VMs of one zone to a VM's members, with the peer's address."""
-        for name in names:
-            row = samples.member(name)._replace(peers=self.peer_address)
-            sync.members.live[name] = row
-
     async def test_one_vm_reads_for_its_zone(self) -> None:
         """The number of store calls must not grow with the number of VMs."""
         self.store.put('op/config', b'1')
--- a/tests/test_entry_registration.py
+++ b/tests/test_entry_registration.py
@@ -83,15 +83,20 @@
         """Guards against writes that only repeat what the store has."""
         self.start_task(self.peer.registration.run())
         await self.wait_until(self.is_registered)
+        revisions = self.revisions()
         await asyncio.sleep(3 * _membership.LEASE_RENEWAL_INTERVAL_S)
-        self.assertEqual(self.store.calls['kv-txn'], 2)
-        doc = json.loads(
-            self.peer.replica.items[VM_KEY].value,
-        )
+        self.assertEqual(self.revisions(), revisions)
+        doc = json.loads(self.peer.replica.items[VM_KEY].value)
         lease = self.peer.registration.lease
         assert lease is not None
         self.assertEqual(doc['lease'], lease.lease_id)
 
+    def revisions(self) -> list[int]:
+        """Return the revisions of the VM's keys in the store."""
+        return [
+            self.store.items[key]['revision'] for key in (VM_KEY, FLEET_KEY)
+        ]
+
 
 if __name__ == '__main__':
     unittest.main()
