Log what a VM learns of other VMs' strikes

The log could not tell three hypotheses apart: (1) the store no longer has the strikes, (2) a VM that starts does not use those that it has, (3) an answer cleared them. Changes of strikes/ keys, with the requests in them, and strikes that an answer clears are lines now.

--- a/filbertstep/_quarantine.py
+++ b/filbertstep/_quarantine.py
@@ -171,16 +171,19 @@
 
     def clear_strikes(
         self, account: str | None, fingerprint: Fingerprint, now: float
-    ) -> None:
+    ) -> bool:
         """Drop the strikes of a request after a server answered it.
 
         In that case the servers crashed for another reason, and many callers
-        may send this request.
+        may send this request.  Returns whether there were strikes.
         """
         row = self.strikes_by_account.get(account or '', {}).get(fingerprint)
-        if row is not None:
-            row.counts.clear()
-            row.cleared_at = now
+        if row is None:
+            return False
+        had_strikes = bool(row.counts)
+        row.counts.clear()
+        row.cleared_at = now
+        return had_strikes
 
     def strikes_of(
         self, account: str, fingerprint: Fingerprint
--- a/filbertstep/entry/_strikes.py
+++ b/filbertstep/entry/_strikes.py
@@ -97,16 +97,24 @@
 
     def record_answer(self, admitted: _messages.Admitted, body: bytes) -> None:
         """Record an answer, which shows that the request crashes no server."""
-        if self.quarantine.strikes_by_account:
-            self.quarantine.clear_strikes(
-                account_name(admitted),
-                request_fingerprint(admitted, body),
-                self.clock.now(),
+        if not self.quarantine.strikes_by_account:
+            return
+        name = request_fingerprint(admitted, body)
+        if self.quarantine.clear_strikes(
+            account_name(admitted), name, self.clock.now()
+        ):
+            self.log.write(
+                'strikes_cleared',
+                id=admitted.call.request_id,
+                account=account_name(admitted),
+                request=name,
             )
 
     def apply_peer_strikes(self, change: _contracts.Change) -> None:
         """Apply a change of a peer's ``strikes/`` key."""
         vm = change.key[len(STRIKES_PREFIX) :]
+        if change.value is None:
+            self.log_key(change, [])
         if change.value is None or vm == self.vm:
             return
         decoded = codec.decode_open(change.value, StrikesRow)
@@ -119,6 +127,7 @@
             )
             return
         row = decoded.ok_value
+        self.log_key(change, row['strikes'])
         self.quarantine.receive(
             vm,
             row['incarnation'],
@@ -126,6 +135,18 @@
             self.clock.now(),
         )
 
+    def log_key(
+        self, change: _contracts.Change, strikes: list[routing.StrikeDoc]
+    ) -> None:
+        """Log a change of a ``strikes/`` key, and the requests in it."""
+        self.log.write(
+            'strikes_key',
+            key=change.key,
+            revision=change.revision,
+            deleted=change.value is None,
+            requests=[row['fingerprint'] for row in strikes],
+        )
+
     def own_strikes(self) -> StrikesRow:
         """Return this VM's own strikes as stored under its key."""
         return {
