Keep strikes in the store beyond the process that counted them

Cause: strikes hung on the VM's lease, which a stop ends, and a process ignored the key of its predecessor. After a round of restarts, no VM knew the strikes.

Evidence: strikes/front-hobart-a-1 is deleted 3.3 s before that VM starts again, the key of launceston before its start; a VM that started in between read two strikes of four. Ruled out: strikes that answers cleared, and strikes that are read and not used.

Why it works: each process has a key of its own, under a lease that lasts as long as a quarantine from the last write; no stop or crash ends it, and the store deletes it when it means nothing any more. The last second's strikes are written before the exit. A row is no longer cut to four requests of an account. Strikes that an answer clears are withdrawn. A row that the store lost, or that a late write replaced, is written again.

test_strikes_are_written_again_under_a_new_lease is replaced: it demanded the VM's lease. Writing again after a lost lease and after a restore is checked against a store now.

--- a/filbertstep/_quarantine.py
+++ b/filbertstep/_quarantine.py
@@ -126,11 +126,16 @@
         strike_limit: int = STRIKE_LIMIT,
         quarantine_s: float = QUARANTINE_S,
         on_quarantine: QuarantineCallback | None = None,
+        max_sent: int = MAX_SENT_FINGERPRINTS,
+        max_sent_per_account: int = MAX_SENT_FINGERPRINTS_PER_ACCOUNT,
     ) -> None:
         self.process = f'{vm}~{incarnation}'
         self.strike_limit = strike_limit
         self.quarantine_s = quarantine_s
         self.on_quarantine = on_quarantine or log_quarantine
+        # Fingerprints in one payload, of all accounts and of one.
+        self.max_sent = max_sent
+        self.max_sent_per_account = max_sent_per_account
         self.strikes_by_account: dict[
             str, dict[Fingerprint, FingerprintStrikes]
         ] = {}
@@ -171,19 +176,19 @@
 
     def clear_strikes(
         self, account: str | None, fingerprint: Fingerprint, now: float
-    ) -> bool:
+    ) -> frozenset[str]:
         """Drop the strikes of a request after a server answered it.
 
         In that case the servers crashed for another reason, and many callers
-        may send this request.  Returns whether there were strikes.
+        may send this request.  Returns the processes whose strikes there were.
         """
         row = self.strikes_by_account.get(account or '', {}).get(fingerprint)
         if row is None:
-            return False
-        had_strikes = bool(row.counts)
+            return frozenset()
+        processes = frozenset(row.counts)
         row.counts.clear()
         row.cleared_at = now
-        return had_strikes
+        return processes
 
     def strikes_of(
         self, account: str, fingerprint: Fingerprint
@@ -232,7 +237,7 @@
             for doc in self.own_strikes(account, rows, now)
         ]
         own.sort(key=lambda doc: doc['age_s'])
-        return {'strikes': own[:MAX_SENT_FINGERPRINTS]}
+        return {'strikes': own[: self.max_sent]}
 
     def own_strikes(
         self,
@@ -252,7 +257,7 @@
             if (own := row.counts.get(self.process)) is not None
         ]
         docs.sort(key=lambda doc: doc['age_s'])
-        return docs[:MAX_SENT_FINGERPRINTS_PER_ACCOUNT]
+        return docs[: self.max_sent_per_account]
 
     def receive(
         self,
@@ -265,7 +270,7 @@
         decoded = codec.convert(payload, StrikesDoc)
         if not isinstance(decoded, result.Ok):
             return
-        for doc in decoded.ok_value['strikes'][:MAX_SENT_FINGERPRINTS]:
+        for doc in decoded.ok_value['strikes'][: self.max_sent]:
             if 0 <= doc['age_s'] < self.quarantine_s and doc['strikes'] > 0:
                 counted = StrikeCount(doc['strikes'], now - doc['age_s'])
                 process = f'{vm}~{incarnation}'
--- a/filbertstep/entry/_own_keys.py
+++ b/filbertstep/entry/_own_keys.py
@@ -40,22 +40,18 @@
         self.written = _knowledge.StoredValue(value, written.ok_value)
         return result.Ok(None)
 
-    def is_written(self) -> bool:
-        """Return whether the last write took effect in the store's era."""
-        return (
-            self.written is not None
-            and self.written.position.era == self.store.era
-        )
-
     def is_lost(self) -> bool:
-        """Return whether the replica shows another value, or none.
+        """Return whether the store may no longer have what was written.
 
-        A replica that is older than the write tells nothing.
+        That is so in another era of the store, and if the replica shows
+        another value or none.  A replica that is older than the write tells
+        nothing.
         """
-        if (
-            self.written is None
-            or self.replica.position < self.written.position
-        ):
+        if self.written is None:
+            return False
+        if self.written.position.era != self.store.era:
+            return True
+        if self.replica.position < self.written.position:
             return False
         found = self.replica.items.get(self.key)
         return (
@@ -69,6 +65,5 @@
         return (
             self.written is None
             or self.written.value != value
-            or not self.is_written()
             or self.is_lost()
         )
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -97,7 +97,7 @@
             self.log,
         )
         self.strike_writer = _strikes.StrikeWriter(
-            self.state.strikes, self.store, self.registration, self.log
+            self.state.strikes, self.store, self.state.replica, self.log
         )
         self.forwarder = delivery.Forwarder(
             conventions=delivery.ResponseConventions(
@@ -302,6 +302,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(stop.exits_at - self.clock.now()):
                 await caller_server.drain(DRAIN_POLL_INTERVAL_S)
+                # Nobody else knows the strikes of the last second.
+                await self.strike_writer.write_changes()
         for request in running:
             self.log.write(
                 'request_cut',
--- a/filbertstep/entry/_strikes.py
+++ b/filbertstep/entry/_strikes.py
@@ -3,8 +3,11 @@
 A request whose connection to a server broke before any answer gets a strike;
 enough strikes without an answer in between quarantine the request.  Its caller
 may send it to any VM, so each VM writes its strikes to the store, from which
-the other VMs read them with everything else.  The key has the VM's lease and
-is deleted with it.
+the other VMs read them with everything else.
+
+Strikes must outlast the process that counted them.  Each process therefore has
+a key of its own, under a lease that lasts as long as a quarantine: the store
+deletes it when all strikes in it have expired.
 """
 
 import asyncio
@@ -18,9 +21,10 @@
 from filbertstep import codec
 from filbertstep import routing
 from filbertstep.entry import _contracts
+from filbertstep.entry import _knowledge
 from filbertstep.entry import _log
-from filbertstep.entry import _membership
 from filbertstep.entry import _messages
+from filbertstep.entry import _own_keys
 
 STRIKES_PREFIX: typing.Final = 'strikes/'
 
@@ -32,6 +36,11 @@
 # another chance.
 QUARANTINE_S: typing.Final = 120.0
 
+# Requests in one value of a key, of all accounts and of one.  A value takes up
+# to about 14 KB.
+MAX_WRITTEN_REQUESTS: typing.Final = 128
+MAX_WRITTEN_REQUESTS_PER_ACCOUNT: typing.Final = 32
+
 # Bounds the store calls when a server ends with many requests in progress.
 # Well below the time within which all VMs must know a request that has crashed
 # three servers.
@@ -39,7 +48,7 @@
 
 
 class StrikesRow(typing.TypedDict):
-    """Value of ``strikes/NAME``; ``incarnation`` identifies the process."""
+    """Value of ``strikes/NAME/INCARNATION``; it identifies the process."""
 
     incarnation: str
     strikes: list[routing.StrikeDoc]
@@ -53,6 +62,7 @@
     ) -> None:
         self.vm = vm
         self.incarnation = secrets.token_hex(6)
+        self.key = f'{STRIKES_PREFIX}{vm}/{self.incarnation}'
         self.clock = time_source
         self.log = log
         self.quarantine = routing.QuarantineSystem(
@@ -61,8 +71,11 @@
             QUARANTINE_STRIKES,
             QUARANTINE_S,
             self.log_quarantine,
+            MAX_WRITTEN_REQUESTS,
+            MAX_WRITTEN_REQUESTS_PER_ACCOUNT,
         )
-        # Whether some strikes of this VM are not in the store yet.
+        # Whether the store lacks strikes of this process, or has some that an
+        # answer cleared.
         self.unwritten = False
 
     def log_quarantine(self, account: str, name: str) -> None:
@@ -100,9 +113,12 @@
         if not self.quarantine.strikes_by_account:
             return
         name = request_fingerprint(admitted, body)
-        if self.quarantine.clear_strikes(
+        cleared = self.quarantine.clear_strikes(
             account_name(admitted), name, self.clock.now()
-        ):
+        )
+        if self.quarantine.process in cleared:
+            self.unwritten = True
+        if cleared:
             self.log.write(
                 'strikes_cleared',
                 id=admitted.call.request_id,
@@ -111,11 +127,15 @@
             )
 
     def apply_peer_strikes(self, change: _contracts.Change) -> None:
-        """Apply a change of a peer's ``strikes/`` key."""
-        vm = change.key[len(STRIKES_PREFIX) :]
+        """Apply a change of another process's ``strikes/`` key.
+
+        That process may be a former one of this VM.  A deletion ends no
+        strikes: they expire by their age.
+        """
+        if change.key == self.key:
+            return
         if change.value is None:
             self.log_key(change, [])
-        if change.value is None or vm == self.vm:
             return
         decoded = codec.decode_open(change.value, StrikesRow)
         if isinstance(decoded, result.Err):
@@ -128,8 +148,9 @@
             return
         row = decoded.ok_value
         self.log_key(change, row['strikes'])
+        name = change.key[len(STRIKES_PREFIX) :]
         self.quarantine.receive(
-            vm,
+            name.removesuffix(f'/{row["incarnation"]}'),
             row['incarnation'],
             {'strikes': row['strikes']},
             self.clock.now(),
@@ -156,21 +177,22 @@
 
 
 class StrikeWriter:
-    """Writes this VM's strikes to the store."""
+    """Writes the strikes of this process to the store."""
 
     def __init__(
         self,
         strikes: StrikeTable,
         store: _contracts.StoreClient,
-        registration: _membership.Registration,
+        replica: _knowledge.StoreReplica,
         log: _log.DecisionLog,
     ) -> None:
         self.strikes = strikes
         self.store = store
-        self.registration = registration
         self.log = log
-        # Lease of the key that was written last.
+        self.key = _own_keys.OwnKey(strikes.key, store, replica)
         self.lease: _contracts.Lease | None = None
+        # One write at a time: an older value must not follow a newer one.
+        self.writing = asyncio.Lock()
 
     async def run(self) -> None:
         """Write new strikes and drop expired ones, in an endless loop."""
@@ -180,30 +202,53 @@
             await self.write_changes()
 
     async def write_changes(self) -> None:
-        """Write the own strikes if the store lacks some of them."""
-        lease = self.registration.lease
-        # The key was deleted with the lease before.
-        lost = self.lease is not None and lease != self.lease
-        if lease is not None and (self.strikes.unwritten or lost):
-            await self.write(lease)
-
-    async def write(self, lease: _contracts.Lease) -> None:
-        """Write all own strikes; after a failure, the next round retries."""
-        self.strikes.unwritten = False
-        self.lease = lease
-        written = await self.store.write(
-            {
-                STRIKES_PREFIX + self.strikes.vm: msgspec.json.encode(
-                    self.strikes.own_strikes()
-                )
-            },
-            lease=lease,
-        )
-        if isinstance(written, result.Err):
-            self.strikes.unwritten = True
-            self.log.write(
-                'strikes_not_written', fault=written.err_value.value
+        """Make the store have the strikes of this process, if it does not.
+
+        After a failure, the next call retries.
+        """
+        async with self.writing:
+            if not self.strikes.unwritten and not self.key.is_lost():
+                return
+            self.strikes.unwritten = False
+            row = self.strikes.own_strikes()
+            fault = await (
+                self.write(row) if row['strikes'] else self.withdraw()
             )
+            if fault is not None:
+                self.strikes.unwritten = True
+                self.log.write('strikes_not_written', fault=fault.value)
+
+    async def withdraw(self) -> _contracts.StoreFault | None:
+        """Delete the key by ending its lease; return a fault."""
+        if self.lease is not None:
+            ended = await self.store.revoke_lease(self.lease)
+            if isinstance(ended, result.Err) and (
+                ended.err_value is not _contracts.StoreFault.LEASE_GONE
+            ):
+                return ended.err_value
+        self.lease = None
+        self.key.written = None
+        return None
+
+    async def write(self, row: StrikesRow) -> _contracts.StoreFault | None:
+        """Write a row under a lease that begins now; return a fault.
+
+        The lease is kept after a failed write, which the store may still
+        execute.
+        """
+        if self.lease is not None:
+            renewed = await self.store.renew_lease(self.lease)
+            if isinstance(renewed, result.Err):
+                if renewed.err_value is not _contracts.StoreFault.LEASE_GONE:
+                    return renewed.err_value
+                self.lease = None
+        if self.lease is None:
+            granted = await self.store.grant_lease(QUARANTINE_S)
+            if isinstance(granted, result.Err):
+                return granted.err_value
+            self.lease = granted.ok_value
+        written = await self.key.write(msgspec.json.encode(row), self.lease)
+        return written.err()
 
 
 def account_name(admitted: _messages.Admitted) -> str | None:
