Give a restarted process no slack of the retry budget at first

Callers: while servers turn requests away and VMs are restarted, a service gets more repeats than all VMs together may send (BUDGET).

Cause: a process starts with empty counts. What its predecessor spent of the slack within the same window is forgotten, so that each restart gives the slack out again.

Why it works: for the first window of a process, the slack counts as spent; then the predecessor's retries have left the window. The first start of the whole deployment has no predecessor.

--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -100,7 +100,12 @@
         self.quotas = steering.QuotaTable(
             settings.vm, settings.first_start, settings.bounds
         )
-        self.retry_budget = steering.RetryBudget(settings.bounds)
+        self.retry_budget = steering.RetryBudget(
+            settings.bounds,
+            float('-inf')
+            if settings.first_start
+            else time_source.now() + settings.bounds.retry_window_s,
+        )
         self.splits = steering.WeightedBalancer(settings.vm)
         self.strikes = _strikes.StrikeTable(settings.vm, time_source, log)
         self.configuration: steering.Configuration | None = None
--- a/filbertstep/steering/_allowance.py
+++ b/filbertstep/steering/_allowance.py
@@ -10,8 +10,8 @@
 
 from filbertstep.steering import _model
 
-# Share of the budget that is spent.  The rest covers restarts, which reset the
-# counts, and requests at the edges of a window.
+# Share of the budget that is spent.  The rest covers requests at the edges of
+# a window.
 USED_BUDGET_SHARE: typing.Final = 0.7
 
 
@@ -32,11 +32,16 @@
 class RetryBudget:
     """Sliding-window retry budgets by service.
 
-    ``vm_count`` is the number of VMs that share the slack.
+    ``vm_count`` is the number of VMs that share the slack.  There is no slack
+    before the time ``slack_from``: a process that follows another one cannot
+    know what that one spent of it.
     """
 
-    def __init__(self, bounds: _model.Bounds) -> None:
+    def __init__(
+        self, bounds: _model.Bounds, slack_from: float = float('-inf')
+    ) -> None:
         self.bounds = bounds
+        self.slack_from = slack_from
         self.vm_count = 1
         self.windows: dict[str, RetryWindow] = {}
 
@@ -53,9 +58,10 @@
     def try_take(self, service: str, now: float) -> bool:
         """Spend one retry; return False if the budget is exhausted."""
         window = self.current_window(service, now)
+        slack = self.bounds.retry_slack if now >= self.slack_from else 0.0
         max_retries = USED_BUDGET_SHARE * (
             self.bounds.retry_ratio * len(window.request_times)
-            + self.bounds.retry_slack / self.vm_count
+            + slack / self.vm_count
         )
         if len(window.retry_times) + 1 > max_retries:
             return False
--- a/tests/test_steering_limits.py
+++ b/tests/test_steering_limits.py
@@ -177,6 +177,26 @@
                 self.assertLessEqual(retries, max_retries)
                 self.assertGreater(retries, 0)
 
+    def test_restarts_give_no_further_slack(self) -> None:
+        """Guards against a whole budget for each of several restarts."""
+        window_s = samples.BOUNDS.retry_window_s
+        requests, retries = 0, 0
+        for started_at in (0.0, 3.0, 6.0):
+            slack_from = started_at + window_s if started_at else 0.0
+            budget = steering.RetryBudget(samples.BOUNDS, slack_from)
+            for number in range(100):
+                now = started_at + number * 0.03
+                budget.record_request('orders', now)
+                requests += 1
+                while budget.try_take('orders', now):
+                    retries += 1
+        self.assertLessEqual(retries, 0.2 * requests + 62)
+        self.assertGreater(retries, 62)
+        # The last process has its slack once its predecessor's retries are
+        # out of the window.
+        self.assertFalse(budget.try_take('orders', 9.1))
+        self.assertTrue(budget.try_take('orders', 6.0 + window_s))
+
     def test_the_window_slides(self) -> None:
         """Guards against a budget that stays exhausted."""
         budget = steering.RetryBudget(samples.BOUNDS)
