Bound what a VM holds of answers without end

Report of other operators: a faulty server sent a body without end, and the machine that had called it ran out of memory; the requests of all its clients ended with it.

Cause: each attempt was bounded, their number was not. A streamed answer gave its slot back when its first megabyte had arrived, so that a server which sends at once looked free and got request after request.

Ruled out: heads without end (1.4 MB), and a single body.

Why it works: a streamed answer keeps its slot until its end, and all answers that are being read share a limit (answer_memory_share, a fifth of the memory); beyond it, they are streamed after 64 KB.

--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -29,6 +29,13 @@
 # that the caller gets an error instead of a truncated response.
 MAX_BUFFERED_BYTES: typing.Final = 1024 * 1024
 
+# Part of a response that is read whatever other responses hold.  Most
+# responses are smaller.
+MIN_BUFFERED_BYTES: typing.Final = 64 * 1024
+
+# Default limit for the bodies of all responses that are being read.
+DEFAULT_BUFFER_BYTES: typing.Final = 64 * 1024 * 1024
+
 # Idle timeout of connections if servers announce none.  It must be shorter
 # than that of the servers: a request sent on a connection that the server
 # closes at that moment has an unknown outcome.
@@ -482,35 +489,99 @@
         return connection
 
 
+class BufferMemory:
+    """Bytes of the bodies that are being read, of all attempts together.
+
+    Beyond ``capacity_bytes``, responses are passed on as streams instead of
+    being read completely first.
+    """
+
+    def __init__(self, capacity_bytes: int) -> None:
+        self.capacity_bytes = capacity_bytes
+        self.used_bytes = 0
+
+    def has_room(self) -> bool:
+        """Return whether more may be read."""
+        return self.used_bytes < self.capacity_bytes
+
+
+class BodyBuffer:
+    """The part of a response's body that was read and not passed on yet."""
+
+    def __init__(self, memory: BufferMemory) -> None:
+        self.memory = memory
+        self.chunks: collections.deque[bytes] = collections.deque()
+        self.size = 0
+
+    def may_grow(self) -> bool:
+        """Return whether the limits allow to read more."""
+        return self.size <= MAX_BUFFERED_BYTES and (
+            self.size < MIN_BUFFERED_BYTES or self.memory.has_room()
+        )
+
+    def append(self, chunk: bytes) -> None:
+        """Add a chunk."""
+        self.chunks.append(chunk)
+        self.size += len(chunk)
+        self.memory.used_bytes += len(chunk)
+
+    def pop(self) -> bytes:
+        """Remove and return the first chunk."""
+        chunk = self.chunks.popleft()
+        self.size -= len(chunk)
+        self.memory.used_bytes -= len(chunk)
+        return chunk
+
+    def take(self) -> bytes:
+        """Remove and return everything."""
+        body = b''.join(self.chunks)
+        self.clear()
+        return body
+
+    def clear(self) -> None:
+        """Drop everything."""
+        self.memory.used_bytes -= self.size
+        self.size = 0
+        self.chunks.clear()
+
+
 class ResponseStream:
     """The body of a large response, in chunks.
 
-    Yields ``buffered_chunks`` first.  The consumer must read to the end or
+    Yields what is in ``buffer`` first.  The consumer must read to the end or
     call ``close``.  ``deadline`` is event loop time; the connection is closed
-    then even if the consumer does not read on.  ``on_close`` may run more than
-    once.
+    then even if the consumer does not read on.
     """
 
     def __init__(
         self,
         response: aiohttp.ClientResponse,
-        buffered_chunks: list[bytes],
+        buffer: BodyBuffer,
         deadline: float,
-        on_close: collections.abc.Callable[[], object],
     ) -> None:
         self.response = response
-        self.buffered_chunks = buffered_chunks
+        self.buffer = buffer
         self.deadline = deadline
-        self.on_close = on_close
+        self.closed = False
+        self.close_callbacks: list[collections.abc.Callable[[], object]] = []
         self.deadline_timer = asyncio.get_running_loop().call_at(
             deadline, self.close
         )
 
+    def call_when_closed(
+        self, callback: collections.abc.Callable[[], object]
+    ) -> None:
+        """Run a callback once, at the end of the stream or now if it ended."""
+        if self.closed:
+            callback()
+        else:
+            self.close_callbacks.append(callback)
+
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the chunks; raise ``TruncatedBodyError`` at an early end."""
         try:
-            for chunk in self.buffered_chunks:
-                yield chunk
+            while self.buffer.chunks:
+                yield self.buffer.pop()
             while True:
                 async with asyncio.timeout_at(self.deadline):
                     chunk = await self.response.content.readany()
@@ -525,12 +596,17 @@
 
     def close(self) -> None:
         """Release the connection, or close it if the body is incomplete."""
-        self.on_close()
+        if self.closed:
+            return
+        self.closed = True
         self.deadline_timer.cancel()
+        self.buffer.clear()
         if self.response.content.at_eof():
             self.response.release()
         else:
             self.response.close()
+        for callback in self.close_callbacks:
+            callback()
 
 
 class Forwarder:
@@ -539,7 +615,8 @@
     ``max_connections_per_server`` applies to this process only.  With
     ``skip_mismatched_responses``, a response with another request id is
     skipped instead of ending the attempt as ``MISMATCHED``, and ``Keep-Alive``
-    timeouts that servers announce are used.
+    timeouts that servers announce are used.  ``buffer_bytes`` limits the
+    bodies of all responses that are being read.
     """
 
     def __init__(
@@ -547,12 +624,14 @@
         max_connections_per_server: int = MAX_CONNECTIONS_PER_SERVER,
         conventions: ResponseConventions | None = None,
         skip_mismatched_responses: bool = False,
+        buffer_bytes: int = DEFAULT_BUFFER_BYTES,
     ) -> None:
         self.max_connections_per_server = max_connections_per_server
         self.conventions = (
             ResponseConventions() if conventions is None else conventions
         )
         self.skip_mismatched_responses = skip_mismatched_responses
+        self.buffer_memory = BufferMemory(buffer_bytes)
         self.session: aiohttp.ClientSession | None = None
         self.in_flight: dict[str, AttemptState] = {}
         self.open_streams: dict[str, ResponseStream] = {}
@@ -732,16 +811,19 @@
             return connection_failed(
                 state, 'the end of the answer is not marked'
             )
-        chunks, complete = await read_buffered(response)
+        buffer = BodyBuffer(self.buffer_memory)
+        try:
+            complete = await read_buffered(response, buffer)
+        except BaseException:
+            buffer.clear()
+            raise
         kind = (
             ForwardOutcomeKind.SHED if not_run else ForwardOutcomeKind.ANSWERED
         )
         if not complete and kind is ForwardOutcomeKind.ANSWERED:
-            stream = ResponseStream(
-                response,
-                chunks,
-                state.deadline,
-                lambda: self.open_streams.pop(attempt.request_id, None),
+            stream = ResponseStream(response, buffer, state.deadline)
+            stream.call_when_closed(
+                lambda: self.open_streams.pop(attempt.request_id, None)
             )
             self.open_streams[attempt.request_id] = stream
             return ForwardOutcome(
@@ -752,7 +834,7 @@
         else:
             response.close()
         return ForwardOutcome(
-            kind, True, response.status, headers, b''.join(chunks)
+            kind, True, response.status, headers, buffer.take()
         )
 
 
@@ -810,18 +892,12 @@
 
 
 async def read_buffered(
-    response: aiohttp.ClientResponse,
-) -> tuple[list[bytes], bool]:
-    """Read a body until it exceeds the buffering limit.
-
-    Returns the chunks and whether the body is complete.
-    """
-    chunks: list[bytes] = []
-    size = 0
-    while size <= MAX_BUFFERED_BYTES:
+    response: aiohttp.ClientResponse, buffer: BodyBuffer
+) -> bool:
+    """Read a body up to the buffering limits; return if it is complete."""
+    while buffer.may_grow():
         chunk = await response.content.readany()
         if not chunk:
-            return chunks, True
-        chunks.append(chunk)
-        size += len(chunk)
-    return chunks, False
+            return True
+        buffer.append(chunk)
+    return False
--- a/filbertstep/_metrics.py
+++ b/filbertstep/_metrics.py
@@ -81,6 +81,11 @@
             'Bytes of the bodies of unanswered requests.',
             registry=self.registry,
         )
+        self.answer_bytes = prometheus_client.Gauge(
+            'filbertstep_answer_bytes',
+            'Bytes of answers that are being read and not passed on yet.',
+            registry=self.registry,
+        )
         self.running = prometheus_client.Gauge(
             'filbertstep_running_requests',
             'Requests on a backend server now.',
--- a/filbertstep/emulator/_fleet.py
+++ b/filbertstep/emulator/_fleet.py
@@ -235,6 +235,7 @@
             first_start=True,
             log_lines_per_s=1.0,
             body_memory_bytes=0,
+            answer_memory_bytes=0,
             bounds=BOUNDS,
         )
         state = entry.State(settings, Decoder(), self.clock, NoLog())
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -270,7 +270,8 @@
     Leases are requested for at least ``min_lease_s`` seconds.  ``first_start``
     is set when the whole deployment starts for the first time.
     ``log_lines_per_s`` is the limit for each kind of log line,
-    ``body_memory_bytes`` that for the bodies of all unanswered requests.
+    ``body_memory_bytes`` that for the bodies of all unanswered requests, and
+    ``answer_memory_bytes`` that for all answers that are being read.
     """
 
     vm: str
@@ -289,6 +290,7 @@
     first_start: bool
     log_lines_per_s: float
     body_memory_bytes: int
+    answer_memory_bytes: int
     bounds: steering.Bounds
 
 
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -106,6 +106,7 @@
                 allow_close_delimited=True,
             ),
             skip_mismatched_responses=True,
+            buffer_bytes=settings.answer_memory_bytes,
         )
         token_requester = _peers.TokenRequester(
             self.state, self.session, self.clock, self.log
@@ -213,6 +214,7 @@
         self.counters.body_bytes.set(
             self.caller_listener.body_memory.used_bytes
         )
+        self.counters.answer_bytes.set(self.forwarder.buffer_memory.used_bytes)
         self.counters.log_lines_dropped.set(self.log.handler.dropped)
         return web.Response(
             body=self.counters.render(),
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -161,18 +161,30 @@
     ) -> asyncio.Task[FinishedAttempt]:
         """Start an attempt on a reserved slot, which is released at its end.
 
-        A done callback releases the slot, because a task that is cancelled
+        The server works on a streamed answer until the end of the stream.  A
+        done callback releases the slot, because a task that is cancelled
         before its first step runs none of its own code.
         """
         task = asyncio.ensure_future(
             self.send(admitted, query, candidate, body)
         )
 
-        def release(_: object) -> None:
+        def release() -> None:
             candidate.server.in_progress -= 1
             self.state.wait_queue.dispatch(query.service, self.clock.now())
 
-        task.add_done_callback(release)
+        def release_at_end(ended: asyncio.Task[FinishedAttempt]) -> None:
+            stream = (
+                None
+                if ended.cancelled() or ended.exception()
+                else ended.result().outcome.stream
+            )
+            if stream is None:
+                release()
+            else:
+                stream.call_when_closed(release)
+
+        task.add_done_callback(release_at_end)
         return task
 
     async def send(
--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -54,6 +54,9 @@
     body_memory_share: typing.NotRequired[
         typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
     ]
+    answer_memory_share: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
+    ]
     bounds: BoundsDoc
 
 
@@ -64,6 +67,9 @@
 # a server, the connection holds most of it a second time.
 DEFAULT_BODY_MEMORY_SHARE: typing.Final = 0.2
 
+# Share of the memory for answers that are being read from servers.
+DEFAULT_ANSWER_MEMORY_SHARE: typing.Final = 0.2
+
 BYTES_PER_MB: typing.Final = 1024 * 1024
 
 
@@ -114,6 +120,11 @@
                 * BYTES_PER_MB
                 * doc.get('body_memory_share', DEFAULT_BODY_MEMORY_SHARE)
             ),
+            answer_memory_bytes=int(
+                doc['memory_mb']
+                * BYTES_PER_MB
+                * doc.get('answer_memory_share', DEFAULT_ANSWER_MEMORY_SHARE)
+            ),
             bounds=steering.Bounds(
                 stop_grace_s=bounds['grace_s'],
                 config_apply_s=bounds['config_apply_ms'] / 1000,
--- a/tests/entry_samples.py
+++ b/tests/entry_samples.py
@@ -25,5 +25,6 @@
         first_start=True,
         log_lines_per_s=100.0,
         body_memory_bytes=1_000_000,
+        answer_memory_bytes=1_000_000,
         bounds=samples.BOUNDS,
     )._replace(**changes)
--- a/tests/test_forward_endless.py
+++ b/tests/test_forward_endless.py
@@ -27,6 +27,10 @@
 # Allowance beyond an attempt's time limit.
 LATE_S: typing.Final = 0.5
 
+# What an attempt may hold beyond the limit for all of them: its own minimum
+# and one read from its connection.
+MAX_EXCESS_BYTES: typing.Final = 320 * 1024
+
 BLOCK_BYTES: typing.Final = 64 * 1024
 
 # Heads without end: the bytes sent first, and those repeated after them.
@@ -225,3 +229,43 @@
         await flood(server, writer, request)
 
     return reply
+
+
+class TestMemoryOfAllAttempts(EndlessCase):
+    """Many attempts at the same time at a server that sends without end."""
+
+    async def test_buffers_together_are_bounded(self) -> None:
+        """Guards against bodies that are bounded each, but not together."""
+        attempts = 40
+        capacity_bytes = 4 * 1024 * 1024
+        first, repeated = ENDLESS_BODIES['chunks']
+        await self.connect(replies_without_end(first, repeated))
+        self.forwarder.buffer_memory.capacity_bytes = capacity_bytes
+        memory = self.forwarder.buffer_memory
+        outcomes = await asyncio.gather(
+            *(
+                self.send(f'r{number}', TIME_LEFT_S)
+                for number in range(attempts)
+            )
+        )
+        self.assertLess(
+            memory.used_bytes, capacity_bytes + attempts * MAX_EXCESS_BYTES
+        )
+        for outcome in outcomes:
+            self.assertEqual(outcome.kind, Kind.ANSWERED)
+            assert outcome.stream is not None
+            outcome.stream.close()
+        self.assertEqual(memory.used_bytes, 0)
+
+    async def test_small_responses_are_complete_while_memory_is_full(
+        self,
+    ) -> None:
+        """Guards against half answers to callers of other servers."""
+        response = test_forward_faulty.response_with_length('r1', b'ok')
+        await self.connect(test_forward.replies(response))
+        memory = self.forwarder.buffer_memory
+        memory.used_bytes = memory.capacity_bytes
+        outcome = await self.send('r1', TIME_LEFT_S)
+        self.assertIsNone(outcome.stream)
+        self.assertEqual(outcome.body, b'ok')
+        self.assertEqual(memory.used_bytes, memory.capacity_bytes)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -297,6 +297,7 @@
         self.assertEqual(settings.bounds.key_withdrawal_s, 2.0)
         self.assertTrue(settings.first_start)
         self.assertEqual(settings.body_memory_bytes, 60 * 1024 * 1024)
+        self.assertEqual(settings.answer_memory_bytes, 60 * 1024 * 1024)
 
     def test_errors_name_the_field(self) -> None:
         """Guards against starting with invalid settings."""
