Reset the connections of requests that are given up

Cause: a given-up attempt closed its connection in the ordinary way, which delivers what is on its way once a cut ends. The platform drops such bytes only if the sender resets the connection.

In the test, all of a body of 32 MB arrived after its attempt had ended.

Why it works: each close of a connection to a server is a reset (SO_LINGER of 0 s), and discards what the program still buffers; also for callers that leave, withdrawn keys, hedges and the exit of the process.

--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -13,6 +13,7 @@
 import enum
 import re
 import socket
+import struct
 import typing
 
 import aiohappyeyeballs
@@ -58,6 +59,10 @@
 # time.  Kept-alive connections can stop responding without a reset.
 TCP_USER_TIMEOUT_MS: typing.Final = 1500
 
+# A close resets the connection.  An ordinary close would still deliver what
+# the network holds up, and a server could run a request that was given up.
+RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
+
 # Limit for what a server sends in one response besides the last head and the
 # content of the body: empty lines, an unfinished head, extensions of chunks.
 MAX_OVERHEAD_BYTES: typing.Final = 64 * 1024
@@ -336,6 +341,10 @@
         if self.interim_responses <= MAX_INTERIM_RESPONSES:
             super().feed_data(data, size)
 
+    def close(self) -> None:
+        """Close the connection without sending what is still buffered."""
+        self.abort()
+
     def reject_response(self) -> None:
         """Fail the current attempt and close the connection."""
         error = ExcessBytesError()
@@ -409,12 +418,18 @@
 
 
 def open_socket(address: aiohappyeyeballs.AddrInfoType) -> socket.socket:
-    """Return a socket with a limit on the time to acknowledgement."""
+    """Return a socket that is reset when it is closed.
+
+    It has a limit on the time to acknowledgement.
+    """
     family, kind, protocol, _, _ = address
     opened_socket = socket.socket(family, kind, protocol)
     opened_socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
+    opened_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+    )
     return opened_socket
 
 
