Use no server by an entry that lacks a field

Cause: an entry of another writer without version, seq_no, cold_left_ms and born replaced the server's own. These fields had defaults, and a missing born even counted as a new start, for which what the server had said of itself is forgotten.

--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -235,6 +235,18 @@
         server = self.servers.by_id.get(parsed_key.name)
         # Taken before ``put`` replaces the entry of this record.
         previous = server.entry if server else None
+        if (
+            entry is not None
+            and not entry.incarnation
+            and self.servers.has_told_start(entry.server_id)
+        ):
+            # It is not the server's own, and must not count as a new start.
+            self.log.write(
+                'unreadable_entry',
+                server=entry.server_id,
+                reason='the start of the server is missing',
+            )
+            entry = None
         if entry is None:
             self.servers.remove(parsed_key.name)
         else:
--- a/filbertstep/platform/_documents.py
+++ b/filbertstep/platform/_documents.py
@@ -130,21 +130,30 @@
     """Properties that do not change while a server runs."""
 
     service: NonEmptyText
+    version: str
     zone: NonEmptyText
     slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class StatusDoc(typing.TypedDict):
-    """The state of a server and the remaining time of its slow start."""
+    """The state of a server and the remaining time of its slow start.
+
+    ``seq_no`` counts what the server wrote since its start.
+    """
 
     state: str
-    cold_left_ms: typing.NotRequired[
-        typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_LEFT_MS)]
+    seq_no: ExactInteger
+    cold_left_ms: typing.Annotated[
+        float, msgspec.Meta(ge=0, le=MAX_COLD_LEFT_MS)
     ]
 
 
 class ServerDoc(typing.TypedDict):
-    """A server's entry; ``born`` is its start in Unix milliseconds."""
+    """A server's entry; ``born`` is its start in Unix milliseconds.
+
+    An entry that lacks another field is not the server's own.  Not all
+    deployments have ``born``.
+    """
 
     address: str
     info: InfoDoc
@@ -243,7 +252,7 @@
             availability_zone=doc['info']['zone'],
             slots=doc['info']['slots'],
             draining=draining,
-            cold_left_s=doc['status'].get('cold_left_ms', 0) / 1000,
+            cold_left_s=doc['status']['cold_left_ms'] / 1000,
             incarnation=doc.get('born', 0),
         )
     )
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -249,6 +249,16 @@
         server.entry = entry
         server.cold_until = max(server.cold_until, now + entry.cold_left_s)
 
+    def has_told_start(self, server_id: str) -> bool:
+        """Return whether a server's entry has told when the server started."""
+        server = self.by_id.get(server_id)
+        if server is not None:
+            return server.entry.incarnation != 0
+        return any(
+            known_id == server_id and incarnation != 0
+            for known_id, incarnation in self.removed_announcements
+        )
+
     def remove(self, server_id: str) -> None:
         """Remove a server."""
         server = self.by_id.pop(server_id, None)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -173,6 +173,24 @@
                 )
                 self.assertIsInstance(decoded, result.Err)
 
+    def test_entries_without_a_field_name_no_server(self) -> None:
+        """Guards against another writer that brings a leaving server back."""
+        for table, field in (
+            ('info', 'service'),
+            ('info', 'version'),
+            ('info', 'zone'),
+            ('info', 'slots'),
+            ('status', 'state'),
+            ('status', 'seq_no'),
+            ('status', 'cold_left_ms'),
+        ):
+            with self.subTest(field=field):
+                part = {**SERVER[table]}
+                del part[field]
+                value = json.dumps({**SERVER, table: part}).encode()
+                decoded = self.decoder.decode('servers/i-1', value)
+                self.assertIsInstance(decoded, result.Err)
+
     def test_names_and_ipv6_addresses_are_accepted(self) -> None:
         """Guards against rejecting servers with a usual address."""
         for address in ('host-1.example:80', '[::1]:65535', 'i_1:1'):
@@ -338,6 +356,57 @@
         )
         self.assertEqual(set(self.state.members.live), {'v2'})
 
+    def test_entry_without_the_start_of_a_known_server(self) -> None:
+        """Guards against another writer that hides what a server said.
+
+        Without the start it would count as a new server that said nothing.
+        """
+        unborn = {key: SERVER[key] for key in SERVER if key != 'born'}
+        for removed_before in (False, True):
+            with self.subTest(removed_before=removed_before):
+                self.setUp()
+                self.apply(('servers/i-1', json.dumps(SERVER).encode()))
+                announced = self.state.servers.by_id['i-1'].announcements
+                announced.leaving = True
+                if removed_before:
+                    self.apply(('x', b''), ('y', b''))
+                    self.assertNotIn('i-1', self.state.servers.by_id)
+                for number in (4, 5):
+                    self.state.replica.apply(
+                        entry.ChangeBatch(
+                            (
+                                entry.Change(
+                                    'servers/i-1',
+                                    number,
+                                    json.dumps(unborn).encode(),
+                                ),
+                            ),
+                            number,
+                        ),
+                        0.0,
+                        0.0,
+                    )
+                    self.assertNotIn('i-1', self.state.servers.by_id)
+                self.state.replica.apply(
+                    entry.ChangeBatch(
+                        (
+                            entry.Change(
+                                'servers/i-1', 6, json.dumps(SERVER).encode()
+                            ),
+                        ),
+                        6,
+                    ),
+                    0.0,
+                    0.0,
+                )
+                self.assertTrue(self.state.servers.by_id['i-1'].is_leaving())
+
+    def test_servers_may_tell_no_start(self) -> None:
+        """Guards against deployments whose servers are never used."""
+        unborn = {key: SERVER[key] for key in SERVER if key != 'born'}
+        self.apply(('servers/i-1', json.dumps(unborn).encode()))
+        self.assertIn('i-1', self.state.servers.by_id)
+
     def test_a_server_is_removed_when_its_entry_becomes_odd(self) -> None:
         """Guards against use of a server whose entry cannot be read."""
         self.apply(('servers/i-1', json.dumps(SERVER).encode()))
