Cut each holder to its own part when a limit is lowered

Cause: a holder cut its tokens to the new capacity of the whole account, as tokens that peers gave may exceed its own capacity, so that three holders kept three times the new burst.

Why it works: when the capacity of all holders shrinks, each cuts its tokens to its own part; given tokens above it are lost once.

--- a/filbertstep/steering/_quota.py
+++ b/filbertstep/steering/_quota.py
@@ -47,10 +47,16 @@
 
 
 class Bucket:
-    """Tokens of one account on this VM."""
+    """Tokens of one account on this VM.
 
-    def __init__(self, tokens: float, now: float) -> None:
+    ``total_capacity`` is the capacity of all VMs together at the last refill.
+    """
+
+    def __init__(
+        self, tokens: float, total_capacity: float, now: float
+    ) -> None:
         self.tokens = tokens
+        self.total_capacity = total_capacity
         self.updated_at = now
         # Time of the last request on this VM or transfer to it.
         self.last_used_at = float('-inf')
@@ -200,7 +206,13 @@
                 initial_tokens = min(
                     capacity, max(1.0, refill_per_s * RESTART_REFILL_S)
                 )
-            bucket = self.buckets[account.name] = Bucket(initial_tokens, now)
+            bucket = self.buckets[account.name] = Bucket(
+                initial_tokens, self.total_capacity(account), now
+            )
+        if self.total_capacity(account) < bucket.total_capacity:
+            # The limit was lowered, and the other holders keep their parts.
+            bucket.tokens = min(bucket.tokens, capacity)
+        bucket.total_capacity = self.total_capacity(account)
         elapsed = max(0.0, now - bucket.updated_at)
         refilled = min(capacity, bucket.tokens + refill_per_s * elapsed)
         # Transferred tokens may exceed this VM's own capacity for a while.
--- a/tests/test_steering_limits.py
+++ b/tests/test_steering_limits.py
@@ -49,6 +49,26 @@
         after = self.spend(self.build_tables(first=False), 3.0, 2.0)
         self.assertLessEqual(before + after, self.max_requests(5.0))
 
+    def test_lower_limit_binds_all_vms_together(self) -> None:
+        """Guards against VMs that each keep what all together may spend."""
+        high = samples.account(rate_per_s=68.0, burst_tokens=68.0)
+        low = samples.account(rate_per_s=8.0, burst_tokens=20.0)
+        for vms in (3, 7):
+            with self.subTest(vms=vms):
+                tables = self.build_tables(first=True, vms=vms)
+                for table in tables:
+                    table.try_take(high, 0.0)
+                for step in range(1, 9):
+                    for table in tables:
+                        table.donate(low, 0.0, float(step))
+                spent = 0
+                for step in range(500):
+                    for table in tables:
+                        while table.try_take(low, 8.0 + step * 0.01):
+                            spent += 1
+                self.assertLessEqual(spent, (8.0 * 5 + 20.0) * 1.1 + 20.0)
+                self.assertGreaterEqual(spent, 8.0 * 5)
+
     def test_transfers_conserve_tokens(self) -> None:
         """Guards against two VMs spending the same token."""
         account = samples.account()
