--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -450,6 +450,12 @@
                 self.assertLessEqual(sent, bound)
                 self.assertGreater(sent, 0)
 
+    def test_many_vms_share_the_rate_in_a_zone_without_vms(self) -> None:
+        """Guards against a first request of each VM at the same moment."""
+        vms = {'a-1': 12, 'b-1': 13}
+        sent = self.count_sent(vms, 'c-1') * sum(vms.values())
+        self.assertLessEqual(sent, 2.7 * 1.5 + 5.0)
+
     def test_vms_of_other_zones_send_no_requests(self) -> None:
         """Guards against sharing the rate with VMs that do not know of it."""
         self.assertEqual(self.count_sent({'a-1': 1, 'a-2': 1}, 'a-2'), 0)
