Limit the age of followed content whatever the setting

A configuration bound of 9 s, as at the target size, would let a VM follow a reader without store for 6.75 s, and send to servers that have left for as long: their bound (drain_ms) is not among the settings.

Why it works: no content is followed beyond 1.5 s, and watches and questions are as frequent as that needs.

--- a/filbertstep/entry/_sync.py
+++ b/filbertstep/entry/_sync.py
@@ -21,9 +21,11 @@
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
 
-# Limits of ``SyncTimes``: longer waits would gain little.
-MAX_WATCH_WAIT_S: typing.Final = 0.9
+# Limits of ``SyncTimes``.  Other changes than the configuration, such as those
+# of servers that leave, have bounds that the settings do not name.
+MAX_WATCH_WAIT_S: typing.Final = 0.4
 MAX_FOLLOW_INTERVAL_S: typing.Final = 0.4
+MAX_FOLLOWED_AGE_S: typing.Final = 1.5
 
 # ``SyncTimes`` as shares of the bound on applying a configuration.  A replica
 # gets two watch waits old; with one more interval, a follower's replica must
@@ -113,11 +115,11 @@
 
 
 def sync_times(config_apply_s: float) -> SyncTimes:
-    """Return the times that keep to the bound on applying a configuration."""
+    """Return times that keep the bound on applying a configuration."""
     return SyncTimes(
         min(MAX_WATCH_WAIT_S, WATCH_WAIT_SHARE * config_apply_s),
         min(MAX_FOLLOW_INTERVAL_S, FOLLOW_INTERVAL_SHARE * config_apply_s),
-        FOLLOWED_AGE_SHARE * config_apply_s,
+        min(MAX_FOLLOWED_AGE_S, FOLLOWED_AGE_SHARE * config_apply_s),
     )
 
 
--- a/tests/test_entry_following.py
+++ b/tests/test_entry_following.py
@@ -90,6 +90,18 @@
                         share * config_apply_s, config_apply_s
                     )
 
+    async def test_long_bound_does_not_delay_other_changes(self) -> None:
+        """Guards against requests to servers that have left.
+
+        Their bound is not among the settings.
+        """
+        self.peer = self.vm('v2', self.store.address)
+        self.peer.replica.position = entry.Position(1, 0)
+        changed_at = self.cut_reader_off(0.9)
+        follower = self.follower(9.0)
+        self.start_task(follower.run_store())
+        self.assertLess(await self.applied_at(follower) - changed_at, 2.0)
+
     async def test_silent_reader_is_not_followed_too_long(self) -> None:
         """Guards against waiting for a reader beyond the bound."""
         for config_apply_s in BOUNDS_S:
