--- a/tests/test_forward_endless.py
+++ b/tests/test_forward_endless.py
@@ -167,6 +167,24 @@
             outcome = await self.send('r1', TIME_LEFT_S)
         self.assertIsNotNone(outcome.stream)
 
+    async def test_a_closed_stream_does_not_look_complete(self) -> None:
+        """Guards against a cut body that is passed on as a whole one."""
+        for name, (first, repeated) in ENDLESS_BODIES.items():
+            for chunks_read in (0, 1):
+                with self.subTest(name, chunks_read=chunks_read):
+                    await self.connect(replies_without_end(first, repeated))
+                    outcome = await self.send('r1', TIME_LEFT_S)
+                    stream = outcome.stream
+                    assert stream is not None
+                    chunks = aiter(stream)
+                    for _ in range(chunks_read):
+                        await anext(chunks)
+                    stream.close()
+                    await self.server.closed.wait()
+                    with self.assertRaises(delivery.TruncatedBodyError):
+                        async for _ in chunks:
+                            pass
+
     async def test_endless_framing_ends_the_attempt(self) -> None:
         """Guards against buffering what belongs to no chunk."""
         for name, (first, repeated) in ENDLESS_FRAMING.items():
