Keep rank orders and lists of usable servers between decisions

Each decision iterated over all servers of the service, hashed and sorted them. A generation number of the table now rises with each change of the usable servers; groups, rendezvous orders and slots by region are kept for one generation.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -14,7 +14,7 @@
 
 from filbertstep.steering import _copies
 from filbertstep.steering import _model
-from filbertstep.steering import _routes
+from filbertstep.steering import _ranking
 from filbertstep.steering import _servers
 
 # Estimated network round-trip times.
@@ -48,6 +48,10 @@
 # known to have the object cached.
 RANKED_SERVERS_PER_GROUP: typing.Final = 4
 
+# Bound of the kept groups of a service, by the regions that a request may use.
+# There are few unless accounts have many different home regions.
+MAX_SELECTIONS: typing.Final = 64
+
 # A server without requests for this time gets the next request for which it
 # ranks first.
 UNUSED_SERVER_S: typing.Final = 1.0
@@ -191,6 +195,40 @@
     longest_s: float
 
 
+class RequestCosts(typing.NamedTuple):
+    """What the estimates of all servers for a request have in common.
+
+    Run times are in seconds on a server of normal speed.  ``maybe_cached_s``
+    is that of the first server in rank, which may have the object cached.
+    ``network_s`` is the network cost by distance.
+    """
+
+    cached_s: float
+    maybe_cached_s: float
+    uncached_s: float
+    slot_s: float
+    network_s: dict[Distance, float]
+
+
+class ServiceGroups:
+    """Groups of the usable servers of a service, for one generation."""
+
+    def __init__(
+        self, distances: dict[_servers.ServerRecord, Distance]
+    ) -> None:
+        self.distances = distances
+        # Groups in the table order of their first servers, by the regions
+        # that a request may use and by whether zones share a copy.
+        self.selections: dict[
+            tuple[frozenset[str] | None, str | None, bool],
+            tuple[_ranking.ServerGroup, ...],
+        ] = {}
+        # The same servers in two selections are one group.
+        self.groups: dict[
+            tuple[_servers.ServerRecord, ...], _ranking.ServerGroup
+        ] = {}
+
+
 class Placement:
     """Chooses servers for the requests that arrive at this VM."""
 
@@ -211,6 +249,10 @@
         # of a cold server.
         self.vms_in_zone: collections.abc.Mapping[str, int] = {}
         self.copies = _copies.CopyPolicy()
+        # Derived from the table's usable servers of one generation.
+        self.groups_by_service: dict[str, ServiceGroups] = {}
+        self.rank_orders = _ranking.RankOrders()
+        self.groups_generation = table.generation.number
 
     def route_run_times(self, route: _model.Route) -> RunTimes:
         """Return the moving averages of a route."""
@@ -259,55 +301,135 @@
             default=float('inf'),
         )
 
+    def service_groups(self, service: str) -> ServiceGroups:
+        """Return the groups of a service in the current generation."""
+        if self.groups_generation != self.table.generation.number:
+            self.groups_by_service.clear()
+            self.rank_orders.clear()
+            self.groups_generation = self.table.generation.number
+        groups = self.groups_by_service.get(service)
+        if groups is None:
+            servers = self.table.usable(service).servers
+            groups = ServiceGroups(
+                {server: self.distance(server) for server in servers}
+            )
+            if servers:
+                self.groups_by_service[service] = groups
+        return groups
+
+    def ranked_groups(
+        self, query: PlacementQuery, shared: bool
+    ) -> collections.abc.Sequence[_ranking.ServerGroup]:
+        """Return the groups of the servers that may run a request.
+
+        They come in the table order of their first servers, without those
+        that were tried.  ``shared`` ranks the zones of this VM's region
+        together.
+        """
+        service_groups = self.service_groups(query.service)
+        key = (query.allowed_regions, query.region, shared)
+        groups = service_groups.selections.get(key)
+        if groups is None:
+            if len(service_groups.selections) >= MAX_SELECTIONS:
+                service_groups.selections.clear()
+                service_groups.groups.clear()
+            groups = self.build_groups(query, shared, service_groups)
+            service_groups.selections[key] = groups
+        if not query.tried_servers:
+            return groups
+        return sorted(
+            groups, key=lambda group: group.first_position(query.tried_servers)
+        )
+
+    def build_groups(
+        self,
+        query: PlacementQuery,
+        shared: bool,
+        service_groups: ServiceGroups,
+    ) -> tuple[_ranking.ServerGroup, ...]:
+        """Return the groups of a query, those that are known if possible."""
+        members: dict[Distance, list[tuple[int, _servers.ServerRecord]]] = {}
+        for position, server in enumerate(
+            self.table.usable(query.service).servers
+        ):
+            if (
+                query.allowed_regions is None
+                or server.region in query.allowed_regions
+            ) and (query.region is None or server.region == query.region):
+                members.setdefault(
+                    self.ranking_group(server, shared), []
+                ).append((position, server))
+        groups = []
+        for placed in members.values():
+            servers = tuple(server for _, server in placed)
+            group = service_groups.groups.get(servers)
+            if group is None:
+                group = service_groups.groups[servers] = _ranking.ServerGroup(
+                    servers, tuple(position for position, _ in placed)
+                )
+            groups.append(group)
+        return tuple(groups)
+
     def eligible_servers(
         self, query: PlacementQuery, now: float
     ) -> list[tuple[int, _servers.ServerRecord]]:
         """Return the servers to compare, each with its rank in its group.
 
         These are the first few servers of each group, and all servers known
-        to have the object cached.  Rank 0 is the first.
+        to have the object cached.  Rank 0 is the first.  The order for an
+        object is the same on all VMs.  Requests without one have no reason to
+        meet on a server, so the least loaded servers come first.
         """
-        shared = self.shares_copy(query, now)
-        groups: dict[Distance, list[_servers.ServerRecord]] = {}
-        for server in self.matching_servers(query):
-            groups.setdefault(self.ranking_group(server, shared), []).append(
-                server
-            )
         chosen: list[tuple[int, _servers.ServerRecord]] = []
-        for servers in groups.values():
-            servers.sort(
-                key=lambda server: self.ranking_key(server, query, now)
-            )
-            available = [
-                server
-                for server in servers
-                if now >= server.paused_until
-                and not server.has_requested_pause(now)
-                and self.cold_rate_allows(server, now)
-            ]
-            chosen += [
-                (rank, server)
-                for rank, server in enumerate(available)
-                if rank < RANKED_SERVERS_PER_GROUP
-                or (
-                    query.affinity_key
-                    and server.has_cached(query.affinity_key, now)
+        for group in self.ranked_groups(query, self.shares_copy(query, now)):
+            if query.affinity_key:
+                chosen += self.first_ranked(group, query, now)
+            else:
+                chosen += enumerate(
+                    group.least_loaded(
+                        RANKED_SERVERS_PER_GROUP,
+                        now,
+                        lambda server: self.may_send(server, query, now),
+                    )
                 )
-            ]
         return chosen
 
-    def ranking_key(
-        self, server: _servers.ServerRecord, query: PlacementQuery, now: float
-    ) -> float:
-        """Return what sorts a server within its group, the first lowest.
+    def first_ranked(
+        self, group: _ranking.ServerGroup, query: PlacementQuery, now: float
+    ) -> list[tuple[int, _servers.ServerRecord]]:
+        """Return the servers of a group to compare for an object."""
+        key = query.affinity_key
+        caching = {
+            server
+            for server in self.table.objects.servers.get(key, ())
+            if server in group.members and server.has_cached(key, now)
+        }
+        chosen: list[tuple[int, _servers.ServerRecord]] = []
+        rank = 0
+        for server in self.rank_orders.get(group, key):
+            if self.may_send(server, query, now):
+                if rank < RANKED_SERVERS_PER_GROUP or server in caching:
+                    chosen.append((rank, server))
+                rank += 1
+            caching.discard(server)
+            if rank >= RANKED_SERVERS_PER_GROUP and not caching:
+                break
+        return chosen
 
-        The order for an object is the same on all VMs.  Requests without one
-        have no reason to meet on a server.
-        """
-        if not query.affinity_key:
-            return server.estimated_requests(now) / max(1, server.entry.slots)
-        return -_routes.rendezvous_rank(
-            server.entry.server_id, query.affinity_key
+    def may_send(
+        self, server: _servers.ServerRecord, query: PlacementQuery, now: float
+    ) -> bool:
+        """Return whether a usable server may get a request now or next."""
+        return (
+            now >= server.paused_until
+            and now >= server.announcements.requested_pause_until
+            and (
+                now >= server.cold_until or self.cold_rate_allows(server, now)
+            )
+            and (
+                not query.tried_servers
+                or server.entry.server_id not in query.tried_servers
+            )
         )
 
     def best_candidate(
@@ -325,26 +447,32 @@
         best: Candidate | None = None
         best_cost = (True, float('inf'))
         eligible = self.eligible_servers(query, now)
+        if not eligible:
+            return None
+        distances = self.service_groups(query.service).distances
+        costs = self.request_costs(query)
         own_copy_due_s = self.own_copy_due_s(
             query, (server for _, server in eligible), now
         )
         for rank, server in eligible:
-            candidate = self.estimate(server, query, rank == 0, now)
-            if self.distance(server) is Distance.SAME_REGION:
-                candidate = candidate._replace(
-                    estimate_s=candidate.estimate_s + own_copy_due_s
-                )
+            distance = distances[server]
+            candidate = self.estimate(
+                server, distance, query, costs, rank == 0, now
+            )
+            estimate_s = candidate.estimate_s
+            if distance is Distance.SAME_REGION:
+                estimate_s += own_copy_due_s
             if query.affinity_key and not candidate.cached:
-                candidate = candidate._replace(
-                    estimate_s=candidate.estimate_s + rank * RANK_PENALTY_S
-                )
+                estimate_s += rank * RANK_PENALTY_S
+            if estimate_s != candidate.estimate_s:
+                candidate = candidate._replace(estimate_s=estimate_s)
             if (
                 rank == 0
                 and candidate.can_send_now
                 and self.is_unused(server, now)
             ):
                 return candidate
-            cost = (candidate.slot_wait_s > max_wait_s, candidate.estimate_s)
+            cost = (candidate.slot_wait_s > max_wait_s, estimate_s)
             if best is None or cost < best_cost:
                 best, best_cost = candidate, cost
         return best
@@ -434,10 +562,28 @@
             and now - server.last_sent_at > UNUSED_SERVER_S
         )
 
+    def request_costs(self, query: PlacementQuery) -> RequestCosts:
+        """Return what the estimates of all servers have in common."""
+        run_times = self.route_run_times(query.route)
+        return RequestCosts(
+            run_times.expected_run_s(1.0),
+            run_times.expected_run_s(TOP_RANK_CACHED_PROBABILITY),
+            run_times.expected_run_s(0.0),
+            run_times.cached_s,
+            {
+                distance: self.network_cost_s(
+                    distance, run_times.exchange_bytes
+                )
+                for distance in NETWORK_COSTS
+            },
+        )
+
     def estimate(
         self,
         server: _servers.ServerRecord,
+        distance: Distance,
         query: PlacementQuery,
+        costs: RequestCosts,
         ranks_first: bool,
         now: float,
     ) -> Candidate:
@@ -445,48 +591,43 @@
 
         ``ranks_first`` tells whether the server ranks first in its group.
         """
-        run_times = self.route_run_times(query.route)
-        distance = self.distance(server)
         server.decay_health(now)
         cached = bool(query.affinity_key) and server.has_cached(
             query.affinity_key, now
         )
-        cached_probability = 1.0 if cached else 0.0
-        if ranks_first and query.affinity_key and not cached:
-            cached_probability = TOP_RANK_CACHED_PROBABILITY
-        run_s = run_times.expected_run_s(cached_probability) * server.slowdown
+        if cached:
+            run_s = costs.cached_s
+        elif ranks_first and query.affinity_key:
+            run_s = costs.maybe_cached_s
+        else:
+            run_s = costs.uncached_s
+        slowdown = server.slowdown
+        run_s *= slowdown
         slots = max(1, server.entry.slots)
         max_requests = slots
         if distance is Distance.OTHER_REGION:
             max_requests += OTHER_REGION_EXTRA_REQUESTS
-        at_server = server.estimated_requests(now)
-        requests_ahead = at_server + server.waiting_requests
+        requests_ahead = (
+            server.estimated_requests(now) + server.waiting_requests
+        )
         slot_wait_s = 0.0
         if requests_ahead > slots - 0.5:
             slot_wait_s = (
-                (requests_ahead - slots + 1)
-                * run_times.cached_s
-                * server.slowdown
-                / slots
+                (requests_ahead - slots + 1) * costs.slot_s * slowdown / slots
             )
         # A failure adds the time of the retry.
-        risk_s = server.failure_rate * FAILURE_COST_RUNS * run_times.uncached_s
+        risk_s = server.failure_rate * FAILURE_COST_RUNS * costs.uncached_s
         round_trip_s, _ = NETWORK_COSTS[distance]
         return Candidate(
             server,
-            self.network_cost_s(distance, run_times.exchange_bytes)
-            + slot_wait_s
-            + run_s
-            + risk_s,
+            costs.network_s[distance] + slot_wait_s + run_s + risk_s,
             slot_wait_s,
             run_s,
             cached,
             requests_ahead <= max_requests - 0.5,
             round_trip_s
             + slot_wait_s
-            + run_times.uncached_s
-            * max(1.0, server.slowdown)
-            * MAX_NORMAL_SLOWDOWN,
+            + costs.uncached_s * max(1.0, slowdown) * MAX_NORMAL_SLOWDOWN,
         )
 
     def cold_rate_allows(
--- a/filbertstep/steering/_regions.py
+++ b/filbertstep/steering/_regions.py
@@ -191,12 +191,7 @@
 
     def slots_by_region(self, service: str) -> dict[str, int]:
         """Return the number of usable slots of a service by region."""
-        slots: dict[str, int] = {}
-        for server in self.table.usable_servers(service, None):
-            slots[server.region] = (
-                slots.get(server.region, 0) + server.entry.slots
-            )
-        return slots
+        return dict(self.table.usable(service).slots)
 
     def service_split(self, service: str, now: float) -> ServiceSplit:
         """Return a service's split, created from the slots at first use."""
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -55,36 +55,103 @@
 MAX_SLOWDOWN: typing.Final = 20.0
 
 
+class Generation:
+    """Number of the current set of usable servers.
+
+    It rises with each change of the set, of its order, and of the slots and
+    zones of its servers.  What was derived from the set is valid only for the
+    generation of which it was derived.
+    """
+
+    def __init__(self) -> None:
+        self.number = 0
+
+    def advance(self) -> None:
+        """Invalidate what was derived from the set so far."""
+        self.number += 1
+
+
 class Announcements:
     """What an incarnation of a server said about itself in its answers.
 
     It remains valid whatever the store says: an entry may be older.
+    ``generation`` is that of the table to which the server belongs.
     """
 
-    def __init__(self) -> None:
-        self.leaving = False
+    def __init__(self, generation: Generation) -> None:
+        self.generation = generation
+        self._leaving = False
         # End of the pause that the server asked this VM for.
         self.requested_pause_until = float('-inf')
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the server announced that it will stop."""
+        return self._leaving
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        if leaving != self._leaving:
+            self._leaving = leaving
+            self.generation.advance()
+
     def request_pause(self, pause_s: float, now: float) -> None:
         """Begin a pause, or extend one that would end earlier."""
         until = now + min(MAX_REQUESTED_PAUSE_S, pause_s)
         self.requested_pause_until = max(self.requested_pause_until, until)
 
 
+class ObjectIndex:
+    """Servers by the objects that they are assumed to cache.
+
+    It holds at most ``MAX_CACHED_OBJECTS`` objects of each server.
+    """
+
+    def __init__(self) -> None:
+        self.servers: dict[str, dict['ServerRecord', None]] = {}
+
+    def add(self, object_key: str, server: 'ServerRecord') -> None:
+        """Add a server of an object."""
+        self.servers.setdefault(object_key, {})[server] = None
+
+    def discard(self, object_key: str, server: 'ServerRecord') -> None:
+        """Remove a server of an object, if it is known."""
+        servers = self.servers.get(object_key)
+        if servers is not None:
+            servers.pop(server, None)
+            if not servers:
+                del self.servers[object_key]
+
+
+class UsableServers(typing.NamedTuple):
+    """The servers of a service that may get requests, in table order.
+
+    ``slots`` is the number of their slots by region.
+    """
+
+    servers: tuple['ServerRecord', ...]
+    slots: dict[str, int]
+
+
 class ServerRecord:
-    """One backend server.  Times are on the clock of this VM."""
+    """One backend server.  Times are on the clock of this VM.
+
+    ``index`` finds the server by its cached objects as long as it is in the
+    table.
+    """
 
     def __init__(
         self,
         entry: _model.ServerEntry,
         region: str,
         announcements: Announcements,
+        index: ObjectIndex,
         now: float,
     ) -> None:
         self.entry = entry
         self.region = region
         self.announcements = announcements
+        self.index: ObjectIndex | None = index
         self.cold_until = now + entry.cold_left_s
         # Time of the last request sent to the server while it was cold.
         self.last_cold_sent_at = float('-inf')
@@ -114,6 +181,8 @@
 
     def current_other_vm_requests(self, now: float) -> float:
         """Return the estimate of other VMs' requests, which decays."""
+        if not self.other_vm_requests:
+            return 0.0
         age_s = max(0.0, now - self.other_vm_requests_at)
         return float(
             self.other_vm_requests * 0.5 ** (age_s / LOAD_REPORT_HALF_LIFE_S)
@@ -139,13 +208,36 @@
 
     def record_object(self, object_key: str, now: float) -> None:
         """Record that the server handles, and thus caches, an object."""
+        if self.index is not None and object_key not in self.cached_objects:
+            self.index.add(object_key, self)
         self.cached_objects[object_key] = now
         self.cached_objects.move_to_end(object_key)
         while len(self.cached_objects) > MAX_CACHED_OBJECTS:
-            self.cached_objects.popitem(last=False)
+            evicted_key, _ = self.cached_objects.popitem(last=False)
+            if self.index is not None:
+                self.index.discard(evicted_key, self)
+
+    def forget_objects(self) -> None:
+        """Assume that the server has no object cached."""
+        if self.index is not None:
+            for object_key in self.cached_objects:
+                self.index.discard(object_key, self)
+        self.cached_objects.clear()
+
+    def leave_table(self) -> None:
+        """Find the server no more by its cached objects."""
+        if self.index is not None:
+            for object_key in self.cached_objects:
+                self.index.discard(object_key, self)
+            self.index = None
 
     def decay_health(self, now: float) -> None:
         """Decay the failure rate and the slowdown up to a time."""
+        if now == self.health_updated_at:
+            return
+        if not self.failure_rate and self.slowdown == 1.0:
+            self.health_updated_at = now
+            return
         elapsed_s = max(0.0, now - self.health_updated_at)
         decay = 0.5 ** (elapsed_s / HEALTH_HALF_LIFE_S)
         self.failure_rate *= decay
@@ -214,6 +306,11 @@
         self.by_id: dict[str, ServerRecord] = {}
         self.by_service: dict[str, dict[str, ServerRecord]] = {}
         self.evacuated_zones: set[str] = set()
+        self.generation = Generation()
+        self.objects = ObjectIndex()
+        # Usable servers by service, and the generation of which they are.
+        self.usable_by_service: dict[str, UsableServers] = {}
+        self.usable_generation = self.generation.number
         # Announcements of removed servers by id and incarnation, oldest first.
         # Requests that are still in progress there may add to them.
         self.removed_announcements: collections.OrderedDict[
@@ -240,12 +337,23 @@
                 (entry.server_id, entry.incarnation), None
             )
             server = self.by_id[entry.server_id] = ServerRecord(
-                entry, region, announcements or Announcements(), now
+                entry,
+                region,
+                announcements or Announcements(self.generation),
+                self.objects,
+                now,
             )
             self.by_service.setdefault(entry.service, {})[entry.server_id] = (
                 server
             )
+            self.generation.advance()
             return
+        if (
+            server.entry.draining != entry.draining
+            or server.entry.availability_zone != entry.availability_zone
+            or server.entry.slots != entry.slots
+        ):
+            self.generation.advance()
         server.entry = entry
         server.cold_until = max(server.cold_until, now + entry.cold_left_s)
 
@@ -265,6 +373,8 @@
         if server is None:
             return
         del self.by_service[server.entry.service][server_id]
+        server.leave_table()
+        self.generation.advance()
         key = (server_id, server.entry.incarnation)
         self.removed_announcements[key] = server.announcements
         if len(self.removed_announcements) > MAX_REMOVED_SERVERS:
@@ -273,6 +383,7 @@
     def evacuate(self, availability_zone: str) -> None:
         """Send no more requests to an availability zone."""
         self.evacuated_zones.add(availability_zone)
+        self.generation.advance()
 
     def end_evacuation(
         self,
@@ -288,6 +399,7 @@
         if availability_zone not in self.evacuated_zones:
             return
         self.evacuated_zones.discard(availability_zone)
+        self.generation.advance()
         for server in self.by_id.values():
             if server.entry.availability_zone != availability_zone:
                 continue
@@ -296,7 +408,36 @@
                 server.cold_until = max(
                     server.cold_until, now + service.cold_start_s
                 )
-            server.cached_objects.clear()
+            server.forget_objects()
+
+    def usable(self, service: str) -> UsableServers:
+        """Return the servers of a service that may get requests.
+
+        The result is kept until the next generation, one for each service
+        that has a server.
+        """
+        if self.usable_generation != self.generation.number:
+            self.usable_by_service.clear()
+            self.usable_generation = self.generation.number
+        usable = self.usable_by_service.get(service)
+        if usable is None:
+            members = self.by_service.get(service)
+            if not members:
+                return UsableServers((), {})
+            servers = tuple(
+                server
+                for server in members.values()
+                if not server.is_leaving()
+                and server.entry.availability_zone not in self.evacuated_zones
+            )
+            slots: dict[str, int] = {}
+            for server in servers:
+                slots[server.region] = (
+                    slots.get(server.region, 0) + server.entry.slots
+                )
+            usable = UsableServers(servers, slots)
+            self.usable_by_service[service] = usable
+        return usable
 
     def usable_servers(
         self, service: str, allowed_regions: frozenset[str] | None
@@ -305,10 +446,9 @@
 
         ``allowed_regions`` None allows all regions, an empty set none.
         """
+        servers = self.usable(service).servers
+        if allowed_regions is None:
+            return list(servers)
         return [
-            server
-            for server in self.by_service.get(service, {}).values()
-            if not server.is_leaving()
-            and server.entry.availability_zone not in self.evacuated_zones
-            and (allowed_regions is None or server.region in allowed_regions)
+            server for server in servers if server.region in allowed_regions
         ]
