Tell slow machines and long requests from slow servers

Servers that share their machines report a fourth figure in their load header, how long work takes there at this moment. One long run made a VM avoid a server, and its cached objects, for seconds, although the machine was slow only for a few hundred milliseconds or the request itself was long. The figure now explains the run that has just ended, and a single long run does not count as slowness of a server that reports it. Servers with three figures are treated as before.

--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -3,7 +3,6 @@
 import asyncio
 import typing
 
-from filbertstep import _decimals
 from filbertstep import delivery
 from filbertstep import errors
 from filbertstep import metrics
@@ -29,9 +28,6 @@
 # expected run time, may be 0.
 MIN_EXPECTED_RUN_S: typing.Final = 0.001
 
-# More requests than a server can run or queue are no load.
-MAX_LOAD_DIGITS: typing.Final = 6
-
 
 class FinishedAttempt(typing.NamedTuple):
     """A finished attempt at one server."""
@@ -279,32 +275,25 @@
             now,
         )
         load_report = find_header(outcome, self.wire_format.load_header)
-        load = parse_load(load_report or '')
+        load = steering.parse_load(load_report or '')
         if load is not None:
-            server.record_load(load[0], load[1], now)
-            self.state.regions.record_load(server, load[0], load[1])
+            server.record_load(load.running, load.waiting, now)
+            server.record_machine(load.machine_slowdown, now)
+            self.state.regions.record_load(server, load.running, load.waiting)
         if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
             self.state.regions.record_latency(
                 server, took_s, admitted.route.target_s
             )
-            run_times = self.state.placement.route_run_times(admitted.route)
-            # Only without a wait for a slot is the time to the answer that of
-            # the run.
-            if candidate.slot_wait_s == 0.0:
-                cached = run_times.was_cached(
-                    candidate.cached, took_s, server.slowdown
-                )
-                expected_s = run_times.expected_run_s(cached)
-                server.record_success(
-                    took_s / max(MIN_EXPECTED_RUN_S, expected_s), now
-                )
-                run_times.record(
-                    cached,
-                    took_s / server.slowdown,
+            steering.record_run(
+                self.state.placement.route_run_times(admitted.route),
+                candidate,
+                steering.MeasuredRun(
+                    took_s,
                     len(outcome.body) + sent_bytes,
-                )
-            else:
-                server.record_success(server.slowdown, now)
+                    load.machine_slowdown if load else None,
+                ),
+                now,
+            )
         elif outcome.kind is OutcomeKind.SHED:
             server.record_shed(now)
         elif (
@@ -399,18 +388,3 @@
         if name.lower() == header_name.lower():
             return value
     return None
-
-
-def parse_load(text: str) -> tuple[int, int] | None:
-    """Parse a server's load header into its running and waiting requests.
-
-    Returns None if the header is absent or malformed.
-    """
-    parts = text.split(',')
-    counts = [
-        _decimals.parse_decimal(part.strip(), MAX_LOAD_DIGITS)
-        for part in parts
-    ]
-    if len(counts) < 2 or None in counts:
-        return None
-    return counts[0] or 0, counts[1] or 0
--- a/filbertstep/steering/__init__.py
+++ b/filbertstep/steering/__init__.py
@@ -6,6 +6,10 @@
 
 from filbertstep.steering._allowance import RetryBudget as RetryBudget
 from filbertstep.steering._directory import nearest_members as nearest_members
+from filbertstep.steering._load_reports import LoadReport as LoadReport
+from filbertstep.steering._load_reports import parse_load as parse_load
+from filbertstep.steering._measured_runs import MeasuredRun as MeasuredRun
+from filbertstep.steering._measured_runs import record_run as record_run
 from filbertstep.steering._model import Bounds as Bounds
 from filbertstep.steering._model import ClientAccount as ClientAccount
 from filbertstep.steering._model import Configuration as Configuration
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -143,15 +143,21 @@
             < MAX_NORMAL_SLOWDOWN
         )
 
-    def record(self, cached: bool, run_s: float, size_bytes: int) -> None:
-        """Update the averages with the run time and size of one exchange.
+    def record_size(self, size_bytes: int) -> None:
+        """Update the average with the size of one exchange.
 
-        ``cached`` tells whether the run had the object cached.  ``size_bytes``
-        includes request and answer.
+        ``size_bytes`` includes request and answer.
         """
         self.exchanges += 1
         weight = max(EXCHANGE_BYTES_WEIGHT, 1.0 / (1.0 + self.exchanges))
         self.exchange_bytes += weight * (size_bytes - self.exchange_bytes)
+
+    def record(self, cached: bool, run_s: float, size_bytes: int) -> None:
+        """Update the averages with the run time and size of one exchange.
+
+        ``cached`` tells whether the run had the object cached.
+        """
+        self.record_size(size_bytes)
         if cached:
             self.cached_s += RUN_TIME_WEIGHT * (run_s - self.cached_s)
         else:
@@ -602,7 +608,7 @@
         else:
             run_s = costs.uncached_s
         slowdown = server.slowdown
-        run_s *= slowdown
+        run_s *= slowdown * server.current_machine_slowdown(now)
         slots = max(1, server.entry.slots)
         max_requests = slots
         if distance is Distance.OTHER_REGION:
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -32,6 +32,10 @@
 # avoided yields no new measurements, so the old ones must lose their weight.
 HEALTH_HALF_LIFE_S: typing.Final = 3.0
 
+# Half-life of the slowdown that a server reports of its machine, which changes
+# many times per second.
+MACHINE_SLOWDOWN_HALF_LIFE_S: typing.Final = 0.25
+
 # Failure rate above which a server gets only occasional trial requests, since
 # each failure pauses it again.
 MAX_FAILURE_RATE: typing.Final = 0.35
@@ -171,6 +175,11 @@
         self.slowdown = 1.0
         self.health_updated_at = now
         self.consecutive_failures = 0
+        # Ratio of the last run that was measured, and the slowdown of the
+        # machine that the server last reported.
+        self.last_run_ratio = 1.0
+        self.machine_slowdown = 1.0
+        self.machine_slowdown_at = now
         self.paused_until = float('-inf')
         # Requests that wait on this VM for a slot of this server.
         self.waiting_requests = 0
@@ -201,6 +210,24 @@
         )
         self.other_vm_requests_at = now
 
+    def record_machine(self, slowdown: float | None, now: float) -> None:
+        """Record the slowdown of the machine that the server reported.
+
+        None stands for a server that does not report it.
+        """
+        if slowdown is not None:
+            self.machine_slowdown = slowdown
+            self.machine_slowdown_at = now
+
+    def current_machine_slowdown(self, now: float) -> float:
+        """Return the expected slowdown of the machine, which decays to 1."""
+        if self.machine_slowdown == 1.0:
+            return 1.0
+        age_s = max(0.0, now - self.machine_slowdown_at)
+        return 1.0 + (self.machine_slowdown - 1.0) * float(
+            0.5 ** (age_s / MACHINE_SLOWDOWN_HALF_LIFE_S)
+        )
+
     def has_cached(self, object_key: str, now: float) -> bool:
         """Return whether the server is assumed to have an object cached."""
         used_at = self.cached_objects.get(object_key)
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -8,9 +8,9 @@
 from filbertstep import _decimals
 from filbertstep import delivery
 from filbertstep import platform
+from filbertstep import steering
 from filbertstep.entry import _callers
 from filbertstep.entry import _requests
-from filbertstep.entry import _tries
 from tests import test_entry_requests
 from tests import test_forward
 from tests import test_forward_faulty
@@ -57,7 +57,8 @@
                     self.assertEqual(reply.status, 200)
                     await asyncio.sleep(0)
                     self.assertEqual(self.requests_in_progress(), 0)
-        self.assertEqual(_tries.parse_load(' 1 , 2, 3'), (1, 2))
+        report = steering.parse_load(' 1 , 2, 3')
+        self.assertEqual(report, steering.LoadReport(1, 2))
 
 
 class TestDeadlineHeader(unittest.TestCase):
