Compute the common part of estimates once per decision

Whether zones share a copy was computed twice per decision and the run times once per server, and each adjustment copied a candidate.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -200,14 +200,17 @@
 
     Run times are in seconds on a server of normal speed.  ``maybe_cached_s``
     is that of the first server in rank, which may have the object cached.
-    ``network_s`` is the network cost by distance.
+    ``own_copy_due_s`` is added for servers of other zones of the region.  The
+    network costs are by distance.
     """
 
     cached_s: float
     maybe_cached_s: float
     uncached_s: float
-    slot_s: float
-    network_s: dict[Distance, float]
+    own_copy_due_s: float
+    same_zone_s: float
+    same_region_s: float
+    other_region_s: float
 
 
 class ServiceGroups:
@@ -380,8 +383,16 @@
         object is the same on all VMs.  Requests without one have no reason to
         meet on a server, so the least loaded servers come first.
         """
+        return self.eligible_in_groups(
+            query, self.shares_copy(query, now), now
+        )
+
+    def eligible_in_groups(
+        self, query: PlacementQuery, shared: bool, now: float
+    ) -> list[tuple[int, _servers.ServerRecord]]:
+        """Return the servers to compare; ``shared`` as in ranked_groups."""
         chosen: list[tuple[int, _servers.ServerRecord]] = []
-        for group in self.ranked_groups(query, self.shares_copy(query, now)):
+        for group in self.ranked_groups(query, shared):
             if query.affinity_key:
                 chosen += self.first_ranked(group, query, now)
             else:
@@ -444,37 +455,44 @@
         holds for all servers, so that no request is refused while another
         server has a free slot.
         """
-        best: Candidate | None = None
-        best_cost = (True, float('inf'))
-        eligible = self.eligible_servers(query, now)
+        crossing_costs, shared = None, False
+        if query.affinity_key:
+            crossing_costs = self.crossing_costs(query.route)
+            shared = self.copies.shares_copy(
+                _copies.ObjectKey(query.service, query.affinity_key),
+                crossing_costs,
+                now,
+            )
+        eligible = self.eligible_in_groups(query, shared, now)
         if not eligible:
             return None
         distances = self.service_groups(query.service).distances
-        costs = self.request_costs(query)
-        own_copy_due_s = self.own_copy_due_s(
-            query, (server for _, server in eligible), now
-        )
+        own_copy_due_s = 0.0
+        if crossing_costs is not None and not (
+            shared or self.has_own_copy(query, eligible, distances, now)
+        ):
+            own_copy_due_s = crossing_costs.first_run_s
+        costs = self.request_costs(query, own_copy_due_s)
+        best: Candidate | None = None
+        best_late, best_s = True, float('inf')
         for rank, server in eligible:
-            distance = distances[server]
             candidate = self.estimate(
-                server, distance, query, costs, rank == 0, now
+                server, distances[server], rank, query, costs, now
             )
-            estimate_s = candidate.estimate_s
-            if distance is Distance.SAME_REGION:
-                estimate_s += own_copy_due_s
-            if query.affinity_key and not candidate.cached:
-                estimate_s += rank * RANK_PENALTY_S
-            if estimate_s != candidate.estimate_s:
-                candidate = candidate._replace(estimate_s=estimate_s)
             if (
                 rank == 0
                 and candidate.can_send_now
                 and self.is_unused(server, now)
             ):
                 return candidate
-            cost = (candidate.slot_wait_s > max_wait_s, estimate_s)
-            if best is None or cost < best_cost:
-                best, best_cost = candidate, cost
+            late = candidate.slot_wait_s > max_wait_s
+            if (
+                best is None
+                or late < best_late
+                or (late == best_late and candidate.estimate_s < best_s)
+            ):
+                best, best_late = candidate, late
+                best_s = candidate.estimate_s
         return best
 
     def ranking_group(
@@ -527,28 +545,25 @@
             costs = self.crossing_costs(query.route)
             self.copies.record_crossing(key, costs.crossing_s, now)
 
-    def own_copy_due_s(
+    def has_own_copy(
         self,
         query: PlacementQuery,
-        servers: collections.abc.Iterable[_servers.ServerRecord],
+        eligible: list[tuple[int, _servers.ServerRecord]],
+        distances: dict[_servers.ServerRecord, Distance],
         now: float,
-    ) -> float:
-        """Return what another crossing costs beyond its bytes, in seconds.
+    ) -> bool:
+        """Return whether a server of this zone has the object cached.
 
-        It is the cost of the first run, which the own copy saves from now on,
-        unless the zone shares a copy or has one.
+        Without it, and unless the zone shares a copy, another crossing costs
+        the first run beyond its bytes: the own copy saves crossings from now
+        on.
         """
-        if (
-            not query.affinity_key
-            or self.shares_copy(query, now)
-            or any(
-                server.has_cached(query.affinity_key, now)
-                for server in servers
-                if self.distance(server) is Distance.SAME_ZONE
-            )
-        ):
-            return 0.0
-        return self.crossing_costs(query.route).first_run_s
+        for _, server in eligible:
+            if distances[server] is Distance.SAME_ZONE and server.has_cached(
+                query.affinity_key, now
+            ):
+                return True
+        return False
 
     def is_unused(self, server: _servers.ServerRecord, now: float) -> bool:
         """Return whether a server of this zone has had no recent requests.
@@ -562,72 +577,88 @@
             and now - server.last_sent_at > UNUSED_SERVER_S
         )
 
-    def request_costs(self, query: PlacementQuery) -> RequestCosts:
+    def request_costs(
+        self, query: PlacementQuery, own_copy_due_s: float
+    ) -> RequestCosts:
         """Return what the estimates of all servers have in common."""
         run_times = self.route_run_times(query.route)
+        size_bytes = run_times.exchange_bytes
         return RequestCosts(
-            run_times.expected_run_s(1.0),
-            run_times.expected_run_s(TOP_RANK_CACHED_PROBABILITY),
-            run_times.expected_run_s(0.0),
             run_times.cached_s,
-            {
-                distance: self.network_cost_s(
-                    distance, run_times.exchange_bytes
-                )
-                for distance in NETWORK_COSTS
-            },
+            run_times.expected_run_s(TOP_RANK_CACHED_PROBABILITY),
+            run_times.uncached_s,
+            own_copy_due_s,
+            self.network_cost_s(Distance.SAME_ZONE, size_bytes),
+            self.network_cost_s(Distance.SAME_REGION, size_bytes),
+            self.network_cost_s(Distance.OTHER_REGION, size_bytes),
         )
 
     def estimate(
         self,
         server: _servers.ServerRecord,
         distance: Distance,
+        rank: int,
         query: PlacementQuery,
         costs: RequestCosts,
-        ranks_first: bool,
         now: float,
     ) -> Candidate:
         """Estimate the time to the answer of one server.
 
-        ``ranks_first`` tells whether the server ranks first in its group.
+        ``rank`` is the place of the server in its group, 0 for the first.
         """
         server.decay_health(now)
-        cached = bool(query.affinity_key) and server.has_cached(
-            query.affinity_key, now
-        )
-        if cached:
-            run_s = costs.cached_s
-        elif ranks_first and query.affinity_key:
-            run_s = costs.maybe_cached_s
-        else:
-            run_s = costs.uncached_s
-        slowdown = server.slowdown
-        run_s *= slowdown
         slots = max(1, server.entry.slots)
         max_requests = slots
-        if distance is Distance.OTHER_REGION:
+        extra_s = 0.0
+        if distance is Distance.SAME_ZONE:
+            round_trip_s = SAME_ZONE_ROUND_TRIP_S
+            network_s = costs.same_zone_s
+        elif distance is Distance.SAME_REGION:
+            round_trip_s = SAME_REGION_ROUND_TRIP_S
+            network_s = costs.same_region_s
+            extra_s = costs.own_copy_due_s
+        else:
+            round_trip_s = OTHER_REGION_ROUND_TRIP_S
+            network_s = costs.other_region_s
             max_requests += OTHER_REGION_EXTRA_REQUESTS
+        cached = False
+        penalty_s = 0.0
+        run_s = costs.uncached_s
+        if query.affinity_key:
+            cached = server.has_cached(query.affinity_key, now)
+            if cached:
+                run_s = costs.cached_s
+            elif rank:
+                penalty_s = rank * RANK_PENALTY_S
+            else:
+                run_s = costs.maybe_cached_s
+        slowdown = server.slowdown
+        run_s *= slowdown
         requests_ahead = (
             server.estimated_requests(now) + server.waiting_requests
         )
         slot_wait_s = 0.0
         if requests_ahead > slots - 0.5:
             slot_wait_s = (
-                (requests_ahead - slots + 1) * costs.slot_s * slowdown / slots
+                (requests_ahead - slots + 1)
+                * costs.cached_s
+                * slowdown
+                / slots
             )
         # A failure adds the time of the retry.
         risk_s = server.failure_rate * FAILURE_COST_RUNS * costs.uncached_s
-        round_trip_s, _ = NETWORK_COSTS[distance]
         return Candidate(
             server,
-            costs.network_s[distance] + slot_wait_s + run_s + risk_s,
+            network_s + slot_wait_s + run_s + risk_s + extra_s + penalty_s,
             slot_wait_s,
             run_s,
             cached,
             requests_ahead <= max_requests - 0.5,
             round_trip_s
             + slot_wait_s
-            + costs.uncached_s * max(1.0, slowdown) * MAX_NORMAL_SLOWDOWN,
+            + costs.uncached_s
+            * (slowdown if slowdown > 1.0 else 1.0)
+            * MAX_NORMAL_SLOWDOWN,
         )
 
     def cold_rate_allows(
