--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -19,6 +19,7 @@
 import aiohttp
 import fire
 
+from filbertstep import deployment
 from tests import entry_process
 from tests import platform_store
 from tests import test_platform_adapter as adapter_tests
@@ -126,13 +127,18 @@
     return json.dumps(document).encode()
 
 
+def server_host(number: int) -> str:
+    """Return the loopback address of a server."""
+    return f'127.1.{number // 250}.{number % 250 + 1}'
+
+
 def server_entry(number: int, port: int) -> bytes:
     """Return the entry of a server, each with a loopback address."""
     zone = ZONES[number % len(ZONES)]
     return json.dumps(
         {
             **adapter_tests.SERVER,
-            'address': f'127.1.{number // 250}.{number % 250 + 1}:{port}',
+            'address': f'{server_host(number)}:{port}',
             'info': {
                 'service': 'stock',
                 'version': '1',
@@ -191,8 +197,10 @@
     """Start all processes, apply the load, and print the figures."""
     store = platform_store.FakePlatformStore()
     await store.start()
-    backend = await asyncio.start_server(reply, '0.0.0.0', 0)
-    port = backend.sockets[0].getsockname()[1]
+    [port] = deployment.allocate_ports(1)
+    backend = await asyncio.start_server(
+        reply, [server_host(number) for number in range(load.servers)], port
+    )
     store.put('op/config', configuration())
     for number in range(load.servers):
         store.put(f'servers/i-{number}', server_entry(number, port))
