Limit the VMs that send to a cold server at the same moment

All VMs of a large zone, or all VMs for a zone without any, sent their first request to a cold server at once: 25 in a second where 9 are allowed. Only as many VMs as the rate and a part of its slack allow send now, the first by rendezvous rank, and none that look-ups do not name.

--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -188,13 +188,18 @@
             self.log.write('vms_changed', spending=len(vms_with_quota))
         self.quotas.set_vms(vms_with_quota)
         self.retry_budget.vm_count = len(vms_with_quota)
-        zones: dict[str, int] = {}
+        vms_by_zone: dict[str, set[str]] = {}
         for member in self.members.live.values():
-            zone = member.availability_zone
-            zones[zone] = zones.get(zone, 0) + 1
-        self.placement.vms_in_zone = zones
+            vms_by_zone.setdefault(member.availability_zone, set()).add(
+                member.vm
+            )
+        self.placement.set_vms(
+            self.settings.vm,
+            {zone: frozenset(vms) for zone, vms in vms_by_zone.items()},
+        )
         self.placement.copies.vms_in_zone = max(
-            1, zones.get(self.settings.availability_zone, 0)
+            1,
+            self.placement.vms_in_zone.get(self.settings.availability_zone, 0),
         )
         self.regions.region_vm_count = max(
             1,
--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -28,6 +28,9 @@
     shift_most: float
     quota_over: float
     quota_slack: float
+    cold_slack: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(ge=0)] | None
+    ]
 
 
 class SettingsDoc(typing.TypedDict):
@@ -137,6 +140,7 @@
                 max_shift_share=bounds['shift_most'],
                 rate_tolerance=bounds['quota_over'],
                 rate_slack_tokens=bounds['quota_slack'],
+                cold_slack=bounds.get('cold_slack') or 0.0,
             ),
         )
     )
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -15,6 +15,7 @@
 from filbertstep.steering import _copies
 from filbertstep.steering import _model
 from filbertstep.steering import _ranking
+from filbertstep.steering import _routes
 from filbertstep.steering import _servers
 
 # Estimated network round-trip times.
@@ -76,6 +77,14 @@
 OTHER_REGION_EXTRA_REQUESTS: typing.Final = 1
 
 
+# Share of the slack of a cold server's rate that VMs may use when they send
+# their first requests at the same moment.  The rest covers requests from VMs
+# that do not know yet that the server is cold.
+COLD_SLACK_SHARE: typing.Final = 0.6
+
+# Cold servers for which the decision whether this VM sends to them is kept.
+MAX_COLD_SENDERS: typing.Final = 4096
+
 # Relative deviation from the mean run time that almost no run exceeds.
 RUN_TIME_SPREAD: typing.Final = 0.3
 
@@ -257,6 +266,12 @@
         # Number of entry VMs by availability zone.  They share the rate limit
         # of a cold server.
         self.vms_in_zone: collections.abc.Mapping[str, int] = {}
+        # Names of the same VMs; empty if only their numbers are known.
+        self.own_vm = ''
+        self.vms_by_zone: collections.abc.Mapping[str, frozenset[str]] = {}
+        # Whether this VM sends to a cold server, by its id and by how many
+        # VMs may.
+        self.cold_senders: dict[tuple[str, int], bool] = {}
         self.copies = _copies.CopyPolicy()
         # Derived from the table's usable servers of one generation.
         self.groups_by_service: dict[str, ServiceGroups] = {}
@@ -667,6 +682,19 @@
             * MAX_NORMAL_SLOWDOWN,
         )
 
+    def set_vms(
+        self,
+        own_vm: str,
+        vms_by_zone: collections.abc.Mapping[str, frozenset[str]],
+    ) -> None:
+        """Set the entry VMs that look-ups name, by availability zone."""
+        self.vms_in_zone = {
+            zone: len(vms) for zone, vms in vms_by_zone.items()
+        }
+        self.own_vm = own_vm
+        self.vms_by_zone = vms_by_zone
+        self.cold_senders.clear()
+
     def cold_rate_allows(
         self, server: _servers.ServerRecord, now: float
     ) -> bool:
@@ -674,7 +702,8 @@
 
         The entry VMs of the server's zone share its rate limit equally, and
         VMs of other zones send nothing to it.  If the zone has no entry VM,
-        those of all zones share the limit.
+        those of all zones share the limit.  Where more VMs share it than may
+        send at the same moment, only some of them send at all.
         """
         if not server.is_cold(now):
             return True
@@ -688,10 +717,43 @@
                 return False
         else:
             sharing_vms = max(1, sum(self.vms_in_zone.values()))
-        # Only the rate part of the bound is used.  Its slack covers requests
-        # from VMs that do not know yet that the server is cold.
         rate = service.cold_per_s * self.bounds.cold_rate_factor
-        return now - server.last_cold_sent_at >= sharing_vms / rate
+        max_senders = max(
+            1, int(rate + COLD_SLACK_SHARE * self.bounds.cold_slack)
+        )
+        if not self.is_cold_sender(server, sharing_vms, max_senders):
+            return False
+        interval_s = min(sharing_vms, max_senders) / rate
+        return now - server.last_cold_sent_at >= interval_s
+
+    def is_cold_sender(
+        self,
+        server: _servers.ServerRecord,
+        sharing_vms: int,
+        max_senders: int,
+    ) -> bool:
+        """Return whether this VM is among those that send to a cold server.
+
+        A VM that look-ups do not name, because it stops or has just started,
+        does not count for the others, so it sends nothing.
+        """
+        if not self.vms_by_zone:
+            return sharing_vms <= max_senders
+        key = (server.entry.server_id, max_senders)
+        if key not in self.cold_senders:
+            vms = self.vms_by_zone.get(
+                server.entry.availability_zone
+            ) or frozenset().union(*self.vms_by_zone.values())
+            first_vms = sorted(
+                vms,
+                key=lambda vm: _routes.rendezvous_rank(
+                    vm, server.entry.server_id
+                ),
+            )[:max_senders]
+            if len(self.cold_senders) >= MAX_COLD_SENDERS:
+                self.cold_senders.clear()
+            self.cold_senders[key] = self.own_vm in first_vms
+        return self.cold_senders[key]
 
 
 def overrun_probability(run_s: float, limit_s: float) -> float:
--- a/tests/steering_samples.py
+++ b/tests/steering_samples.py
@@ -16,6 +16,7 @@
     max_shift_share=0.15,
     rate_tolerance=0.1,
     rate_slack_tokens=20.0,
+    cold_slack=5.0,
 )
 
 # Regions by availability zone.
