--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -16,6 +16,7 @@
 from filbertstep.entry import _contracts
 from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
+from filbertstep.entry import _report_exchange
 from filbertstep.entry import _state
 from filbertstep.entry import _sync
 
@@ -51,10 +52,12 @@
         store: _contracts.StoreClient,
         time_source: clock.Clock,
         log: _log.DecisionLog,
+        report_exchange: _report_exchange.ReportExchange | None = None,
     ) -> None:
         self.state = state
         self.sync = sync
         self.store = store
+        self.report_exchange = report_exchange
         self.clock = time_source
         self.log = log
         self.lease_renewals: set[asyncio.Task[None]] = set()
@@ -67,6 +70,8 @@
             return self.handle_tokens(await request.read())
         if request.path == _load_exchange.LOADS_PATH:
             return self.handle_loads()
+        if request.path == _report_exchange.REPORTS_PATH:
+            return self.handle_reports(await request.read())
         return web.Response(status=404)
 
     def handle_knowledge(self, request: web.BaseRequest) -> web.Response:
@@ -109,6 +114,14 @@
             _load_exchange.loads_answer(self.state.regions, self.clock.now())
         )
 
+    def handle_reports(self, body: bytes) -> web.Response:
+        """Take reports on servers from a peer, and tell it those of others."""
+        exchange = self.report_exchange
+        answer = exchange.collect(body) if exchange is not None else None
+        if answer is None:
+            return web.Response(status=400)
+        return _web.json_response(answer)
+
     def handle_tokens(self, body: bytes) -> web.Response:
         """Give tokens of an account that this VM does not need to a peer."""
         decoded = codec.decode_open(body, TokensDoc)
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -25,6 +25,7 @@
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
 from filbertstep.entry import _peers
+from filbertstep.entry import _report_exchange
 from filbertstep.entry import _requests
 from filbertstep.entry import _state
 from filbertstep.entry import _strikes
@@ -108,13 +109,20 @@
             skip_mismatched_responses=True,
             buffer_bytes=settings.answer_memory_bytes,
         )
+        self.report_exchange = _report_exchange.ReportExchange(
+            self.state, self.session, self.clock, self.counters, self.log
+        )
         token_requester = _peers.TokenRequester(
             self.state, self.session, self.clock, self.log
         )
         self.request_handler = _requests.RequestHandler(
             self.state,
             _tries.AttemptSender(
-                self.state, self.forwarder, wire_format, self.counters
+                self.state,
+                self.forwarder,
+                wire_format,
+                self.counters,
+                self.report_exchange,
             ),
             self.counters,
             token_requester.request_tokens,
@@ -133,7 +141,12 @@
             self.clock,
         )
         self.peer_listener = _peers.PeerListener(
-            self.state, self.store_sync, self.store, self.clock, self.log
+            self.state,
+            self.store_sync,
+            self.store,
+            self.clock,
+            self.log,
+            self.report_exchange,
         )
         self.load_exchange = _load_exchange.LoadExchange(
             self.state, self.session, self.clock, self.log
@@ -153,6 +166,7 @@
             ('registration', self.registration.run),
             ('strikes', self.strike_writer.run),
             ('loads', self.load_exchange.run),
+            ('reports', self.report_exchange.run),
             ('tick', self.tick),
             ('settings', self.watch_settings),
         ):
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -9,6 +9,7 @@
 from filbertstep import steering
 from filbertstep.entry import _contracts
 from filbertstep.entry import _messages
+from filbertstep.entry import _report_exchange
 from filbertstep.entry import _state
 
 OutcomeKind = delivery.ForwardOutcomeKind
@@ -45,10 +46,12 @@
         forwarder: delivery.Forwarder,
         wire_format: _contracts.WireFormat,
         counters: metrics.Metrics,
+        report_exchange: _report_exchange.ReportExchange | None = None,
     ) -> None:
         self.state = state
         self.clock = state.clock
         self.forwarder = forwarder
+        self.report_exchange = report_exchange
         self.wire_format = wire_format
         self.counters = counters
         # The caller's values of these headers are never forwarded; where a
@@ -279,6 +282,10 @@
         if load is not None:
             server.record_load(load.running, load.waiting, now)
             server.record_machine(load.machine_slowdown, now)
+            if self.report_exchange is not None:
+                self.report_exchange.record(
+                    server.entry.server_id, query.affinity_key, load, now
+                )
             self.state.regions.record_load(server, load.running, load.waiting)
         if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
             self.state.regions.record_latency(
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -10,6 +10,7 @@
 import collections.abc
 import typing
 
+from filbertstep.steering import _load_reports
 from filbertstep.steering import _model
 
 # Number of objects that a server is assumed to cache, with least recently used
@@ -210,13 +211,31 @@
         )
         self.other_vm_requests_at = now
 
+    def record_shared_load(
+        self, running: int, waiting: int, reported_at: float, now: float
+    ) -> None:
+        """Update the estimate with a load that another VM got in an answer.
+
+        The answered request has left the server, and what the report says of
+        others loses its weight with its age.
+        """
+        reported = max(0, running + waiting - 1 - self.in_progress)
+        age_s = max(0.0, now - reported_at)
+        weight = LOAD_REPORT_WEIGHT * 0.5 ** (age_s / LOAD_REPORT_HALF_LIFE_S)
+        current = self.current_other_vm_requests(now)
+        self.other_vm_requests = current + weight * (reported - current)
+        self.other_vm_requests_at = now
+
     def record_machine(self, slowdown: float | None, now: float) -> None:
         """Record the slowdown of the machine that the server reported.
 
         None stands for a server that does not report it.
         """
         if slowdown is not None:
-            self.machine_slowdown = slowdown
+            self.machine_slowdown = min(
+                _load_reports.MAX_MACHINE_SLOWDOWN,
+                max(_load_reports.MIN_MACHINE_SLOWDOWN, slowdown),
+            )
             self.machine_slowdown_at = now
 
     def current_machine_slowdown(self, now: float) -> float:
