Reject responses with an invalid status

Cause: aiohttp's parser accepts any three digits, and its client takes each status but 100 and 102 to 199 for a final one. Nothing checked the status after it, so 000, 099, 600, 999 and an unsolicited 101 reached the caller, and such a response with the header for 'not run' became a 503. A status line that the parser rejects looked like a server that crashed: the request got a strike, and after three of them 429.

Change: BoundedProtocol checks each head when it is parsed and closes the connection. The outcome is MISMATCHED with InvalidStatusError: a failure of the server, the run unknown, no strike. An interim response that announces a body counts as invalid, as the bytes after it could be either. Each head is parsed by itself, because the parser drops the heads before a fault in the same read. Bytes that do not begin with HTTP/ end as BROKEN, as before.

Tests: the entry test for idempotent requests now lets whichever server is tried first send the invalid response, and checks that each server gets the request once. The test of a response in single bytes has three more statuses.

--- a/filbertstep/_assignments.py
+++ b/filbertstep/_assignments.py
@@ -58,7 +58,7 @@
 
     NOT_SENT: no byte was sent.  SHED: the server refused the request with an
     ``X-Not-Run`` header.  BROKEN: the connection was lost, or the response
-    belonged to another request.
+    belonged to another request or had no valid status.
     """
 
     NOT_SENT = 'not_sent'
--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -19,6 +19,7 @@
 import aiohappyeyeballs
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_exceptions
 from aiohttp import http_parser
 from aiohttp import streams
 import multidict
@@ -67,9 +68,25 @@
 # content of the body: empty lines, an unfinished head, extensions of chunks.
 MAX_OVERHEAD_BYTES: typing.Final = 64 * 1024
 
+# Statuses that HTTP defines (RFC 9110, section 15).  The parser accepts any
+# three digits.
+MIN_STATUS: typing.Final = 100
+MAX_STATUS: typing.Final = 599
+
 # Lowest HTTP status of a response that is not interim.
 MIN_FINAL_STATUS: typing.Final = 200
 
+# No request asks for another protocol: ``Upgrade`` is not forwarded.
+SWITCHING_PROTOCOLS_STATUS: typing.Final = 101
+
+# Start of a status line, and the part of a head that is kept to find it after
+# an empty line.
+STATUS_LINE_START: typing.Final = b'HTTP/'
+KEPT_HEAD_BYTES: typing.Final = 16
+
+# End of a head.
+HEAD_END: typing.Final = b'\r\n\r\n'
+
 # Interim responses to one request.
 MAX_INTERIM_RESPONSES: typing.Final = 32
 
@@ -116,7 +133,9 @@
     ``SHED``: the server reported that it did not run the request.  ``BROKEN``:
     the connection failed after the request was sent, or no valid response
     arrived.  ``MISMATCHED``: the server sent something else than the response
-    to this request.  Metrics and log lines contain the names of the members.
+    to this request, or a response without a valid status.  Unlike ``BROKEN``,
+    it is never taken for a crash.  Metrics and log lines contain the names of
+    the members.
     """
 
     ANSWERED = enum.auto()
@@ -231,6 +250,32 @@
     """
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """Raised when a response has no valid status.
+
+    It is also raised for a 101, which no request asks for, and for an interim
+    response that announces a body.  The name of this class appears in messages
+    to callers.
+    """
+
+
+def has_valid_status(message: http_parser.RawResponseMessage) -> bool:
+    """Return whether a response may be read on by its status.
+
+    An interim response ends with its head.  One that announces a body leaves
+    open whether the bytes after it are that body or the next response.
+    """
+    if not MIN_STATUS <= message.code <= MAX_STATUS:
+        return False
+    if message.code >= MIN_FINAL_STATUS:
+        return True
+    return (
+        message.code != SWITCHING_PROTOCOLS_STATUS
+        and 'Transfer-Encoding' not in message.headers
+        and message.headers.get('Content-Length', '0') == '0'
+    )
+
+
 def echoed_ids(
     headers: multidict.CIMultiDictProxy[str],
 ) -> frozenset[str]:
@@ -243,6 +288,7 @@
 
     aiohttp limits the lines of a head.  This class limits everything else that
     is not the content of a body, and accepts nothing on an idle connection.
+    It also closes a connection on which a response has an invalid status.
 
     ``attributed`` tells whether the last final response certainly belongs to
     the current request, and not to an earlier one on the same connection.
@@ -251,6 +297,8 @@
     expected_id: str | None = None
     awaits_head = False
     overhead_bytes = 0
+    # First bytes of an unfinished head.
+    head_start = b''
     interim_responses = 0
     final_responses = 0
     attributed = False
@@ -271,6 +319,7 @@
         self.earlier_ids.append(request_id)
         self.awaits_head = True
         self.overhead_bytes = 0
+        self.head_start = b''
         self.interim_responses = 0
 
     async def read(
@@ -298,12 +347,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data from the server within the limits."""
-        while len(data) > MAX_PARSED_BYTES and not self.is_in_body():
-            # A single read may contain thousands of interim responses.
-            self.parse(data[:MAX_PARSED_BYTES])
+        while not self.is_in_body():
+            # A head is parsed by itself, because the parser drops it if what
+            # follows it is invalid.  A single read may also contain thousands
+            # of interim responses.
+            head_size = data.find(HEAD_END, 0, MAX_PARSED_BYTES)
+            size = (
+                MAX_PARSED_BYTES
+                if head_size < 0
+                else head_size + len(HEAD_END)
+            )
+            if len(data) <= size:
+                break
+            self.parse(data[:size])
             if self.transport is None or self.transport.is_closing():
                 return
-            data = data[MAX_PARSED_BYTES:]
+            data = data[size:]
         self.parse(data)
 
     def is_in_body(self) -> bool:
@@ -317,6 +376,9 @@
             # These bytes belong to no request (RFC 9112, section 9.2).
             self.abort()
             return
+        if not self.is_in_body():
+            start = self.head_start + data[:KEPT_HEAD_BYTES]
+            self.head_start = start.lstrip()[:KEPT_HEAD_BYTES]
         body_bytes = 0 if payload is None else payload.total_bytes
         super().data_received(data)
         if self._payload is payload and (
@@ -324,30 +386,52 @@
         ):
             # No response has begun, and no body has continued.
             self.overhead_bytes += len(data)
-        if (
-            self.overhead_bytes > MAX_OVERHEAD_BYTES
-            or self.interim_responses > MAX_INTERIM_RESPONSES
-        ):
-            self.reject_response()
+        if self.overhead_bytes > MAX_OVERHEAD_BYTES:
+            self.reject_response(ExcessBytesError())
 
     def feed_data(
         self,
         data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
         size: int = 0,
     ) -> None:
-        """Queue a parsed response, unless it is an excess interim one."""
+        """Queue a parsed response, or reject it and all that follow it."""
         message, _ = data
+        self.head_start = b''
+        if self.exception() is not None:
+            return
+        if not has_valid_status(message):
+            self.reject_response(InvalidStatusError())
+            return
         self.interim_responses += message.code < MIN_FINAL_STATUS
-        if self.interim_responses <= MAX_INTERIM_RESPONSES:
-            super().feed_data(data, size)
+        if self.interim_responses > MAX_INTERIM_RESPONSES:
+            self.reject_response(ExcessBytesError())
+            return
+        super().feed_data(data, size)
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException | None = None
+    ) -> None:
+        """Fail the current attempt.
+
+        A status line that the parser rejects gets the same error as a status
+        that it accepts and that is invalid.  In both cases the server has not
+        crashed.
+        """
+        if isinstance(
+            exc_cause, http_exceptions.BadStatusLine
+        ) and self.head_start.startswith(STATUS_LINE_START):
+            exc = InvalidStatusError()
+        if exc_cause is None:
+            super().set_exception(exc)
+        else:
+            super().set_exception(exc, exc_cause)
 
     def close(self) -> None:
         """Close the connection without sending what is still buffered."""
         self.abort()
 
-    def reject_response(self) -> None:
+    def reject_response(self, error: aiohttp.ClientError) -> None:
         """Fail the current attempt and close the connection."""
-        error = ExcessBytesError()
         if self._payload is not None:
             self._payload.set_exception(error)
         self.set_exception(error)
@@ -736,7 +820,7 @@
                 failure=error.failure,
                 message=error.failure.message,
             )
-        except ExcessBytesError as error:
+        except (ExcessBytesError, InvalidStatusError) as error:
             # Not BROKEN, which may count as a crash caused by the request.
             return ForwardOutcome(
                 ForwardOutcomeKind.MISMATCHED,
--- a/tests/test_entry_status.py
+++ b/tests/test_entry_status.py
@@ -48,19 +48,17 @@
 # Answers of a server after which it is no longer paused for its failures.
 RECOVERY_ANSWERS: typing.Final = 4
 
-# Different paths, so that placement prefers each of the servers for some.
-PATHS: typing.Final = 12
-
 
 class TestInvalidStatus(test_entry_program.ProgramCase):
-    """A faulty server, and later a sound one of the same service."""
+    """One server of a service, and later a second one."""
 
     async def asyncSetUp(self) -> None:
-        """Start the sound server beside the fakes and the program."""
-        self.invalid: bytes | None = None
-        self.sound = test_forward.RawServer(self.reply)
-        self.sound_address = await self.sound.start()
-        self.addAsyncCleanup(self.sound.stop)
+        """Start a second server beside the fakes and the program."""
+        self.invalid = b''
+        self.faulty_answers = 0
+        self.second = test_forward.RawServer(self.reply)
+        self.second_address = await self.second.start()
+        self.addAsyncCleanup(self.second.stop)
         await super().asyncSetUp()
         await self.wait_until(self.is_server_known)
 
@@ -87,11 +85,11 @@
         ]
         self.store.put('op/config', json.dumps(document).encode())
 
-    def put_sound_server(self) -> None:
-        """Write the sound server's entry into the store."""
+    def put_second_server(self) -> None:
+        """Write the second server's entry into the store."""
         document = {
             **adapter_tests.SERVER,
-            'address': self.sound_address,
+            'address': self.second_address,
             'status': {'state': 'ready', 'seq_no': 1, 'cold_left_ms': 0},
         }
         self.store.put('servers/i-2', json.dumps(document).encode())
@@ -102,12 +100,16 @@
         writer: asyncio.StreamWriter,
         request: bytes,
     ) -> None:
-        """Answer, or send the invalid response."""
-        if server is self.sound or self.invalid is None:
+        """Send the invalid response while some are left, or answer.
+
+        Which of two servers gets a request first is up to the program.
+        """
+        if not self.faulty_answers:
             await super().reply(server, writer, request)
-        else:
-            request_id = test_forward.header(request, 'X-Request-Id') or ''
-            writer.write(self.invalid.replace(ID, request_id.encode()))
+            return
+        self.faulty_answers -= 1
+        request_id = test_forward.header(request, 'X-Request-Id') or ''
+        writer.write(self.invalid.replace(ID, request_id.encode()))
 
     async def event_count(self, event: str) -> float:
         """Return a counter of the program's events."""
@@ -142,10 +144,8 @@
         counted = await self.event_count('try_mismatched')
         requests = len(self.server.requests)
         self.invalid = response
-        try:
-            status_line = await self.send_by_hand('/orders/1')
-        finally:
-            self.invalid = None
+        self.faulty_answers = 1
+        status_line = await self.send_by_hand('/orders/1')
         self.assertEqual(status_line.split()[:2], [b'HTTP/1.1', b'502'])
         self.assertEqual(len(self.server.requests), requests + 1)
         self.assertEqual(await self.event_count('try_mismatched'), counted + 1)
@@ -170,23 +170,26 @@
 
     async def test_idempotent_requests_go_to_another_server(self) -> None:
         """Guards against a failure while a sound server is there."""
-        self.put_sound_server()
-
-        async def both_servers_are_used() -> bool:
-            requests = len(self.server.requests)
-            for number in range(PATHS):
-                await self.send_request(f'/stock/{number}', method='GET')
-            return (
-                len(self.server.requests) > requests
-                and len(self.sound.requests) > 0
+        self.put_second_server()
+
+        async def second_server_is_known() -> bool:
+            return any(
+                line['kind'] == 'server' and line['server'] == 'i-2'
+                for line in self.output
             )
 
-        await self.wait_until(both_servers_are_used)
-        self.invalid = INVALID_RESPONSES['000']
-        requests = len(self.server.requests)
-        statuses = [
-            await self.send_request(f'/stock/{number}', method='GET')
-            for number in range(PATHS)
-        ]
-        self.assertEqual(statuses, [(200, 'done')] * PATHS)
-        self.assertGreater(len(self.server.requests), requests)
+        await self.wait_until(second_server_is_known)
+        for name in ('000', '600', '101', 'two digits'):
+            with self.subTest(name):
+                for _ in range(RECOVERY_ANSWERS):
+                    await self.wait_until(self.is_server_known)
+                before = [len(self.server.requests), len(self.second.requests)]
+                self.faulty_answers = 1
+                self.invalid = INVALID_RESPONSES[name]
+                answer = await self.send_request('/stock/1', method='GET')
+                self.assertEqual(answer, (200, 'done'))
+                # Each server gets the request once.
+                self.assertEqual(
+                    [len(self.server.requests), len(self.second.requests)],
+                    [count + 1 for count in before],
+                )
--- a/tests/test_forward_status.py
+++ b/tests/test_forward_status.py
@@ -177,6 +177,21 @@
     return reply
 
 
+def replies_by_bytes(sent: bytes) -> test_forward.Replier:
+    """Return a replier that writes one byte at a time."""
+
+    async def reply(
+        server: test_forward.RawServer,
+        writer: asyncio.StreamWriter,
+        request: bytes,
+    ) -> None:
+        for position in range(len(sent)):
+            writer.write(sent[position : position + 1])
+            await asyncio.sleep(0.001)
+
+    return reply
+
+
 class StatusCase(unittest.IsolatedAsyncioTestCase):
     """Sends requests to a server that answers r2 in a way of its own."""
 
@@ -270,21 +285,12 @@
 
     async def test_a_response_in_parts_reaches_no_caller(self) -> None:
         """Guards against a check that needs the head in a single read."""
-        sent = response(b' 000')
-
-        async def reply(
-            server: test_forward.RawServer,
-            writer: asyncio.StreamWriter,
-            request: bytes,
-        ) -> None:
-            for position in range(len(sent)):
-                writer.write(sent[position : position + 1])
-                await asyncio.sleep(0.001)
-
-        for name, create_forwarder in FORWARDERS.items():
-            with self.subTest(name):
-                async with self.connected(reply, create_forwarder):
-                    self.check_rejected(await self.send('r2'))
+        for status in (b' 000', b' 2000', b' abc', b''):
+            for name, create_forwarder in FORWARDERS.items():
+                with self.subTest(name, status=status):
+                    reply = replies_by_bytes(response(status))
+                    async with self.connected(reply, create_forwarder):
+                        self.check_rejected(await self.send('r2'))
 
     async def test_responses_without_a_body_are_checked(self) -> None:
         """Guards against a check that only bodies lead to."""
