Keep servers in order of load for requests without an object

These requests sorted all servers of a group by load. Groups now keep sorted lower bounds of the loads, which decay alike, and move only the servers whose load has changed.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -368,7 +368,9 @@
             group = service_groups.groups.get(servers)
             if group is None:
                 group = service_groups.groups[servers] = _ranking.ServerGroup(
-                    servers, tuple(position for position, _ in placed)
+                    servers,
+                    tuple(position for position, _ in placed),
+                    self.table.load_changes,
                 )
             groups.append(group)
         return tuple(groups)
@@ -397,7 +399,7 @@
                 chosen += self.first_ranked(group, query, now)
             else:
                 chosen += enumerate(
-                    group.least_loaded(
+                    group.load_order.least_loaded(
                         RANKED_SERVERS_PER_GROUP,
                         now,
                         lambda server: self.may_send(server, query, now),
@@ -413,7 +415,8 @@
         caching = {
             server
             for server in self.table.objects.servers.get(key, ())
-            if server in group.members and server.has_cached(key, now)
+            if server in group.load_order.places
+            and server.has_cached(key, now)
         }
         chosen: list[tuple[int, _servers.ServerRecord]] = []
         rank = 0
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -50,6 +50,9 @@
 # again.
 MAX_REMOVED_SERVERS: typing.Final = 1024
 
+# Changes of loads that are kept for the orders by load, 8 bytes each.
+MAX_LOAD_CHANGES: typing.Final = 1024
+
 # Limits of the slowdown.
 MIN_SLOWDOWN: typing.Final = 0.5
 MAX_SLOWDOWN: typing.Final = 20.0
@@ -123,6 +126,28 @@
                 del self.servers[object_key]
 
 
+class LoadChanges:
+    """The servers whose estimated number of requests has changed.
+
+    Decay is no change.
+
+    ``servers`` is a sequence of up to ``MAX_LOAD_CHANGES`` servers, oldest
+    first.  A reader remembers how far it has read, and starts again when
+    ``restarts`` differs.
+    """
+
+    def __init__(self) -> None:
+        self.servers: list['ServerRecord'] = []
+        self.restarts = 0
+
+    def add(self, server: 'ServerRecord') -> None:
+        """Add a change."""
+        if len(self.servers) >= MAX_LOAD_CHANGES:
+            self.servers.clear()
+            self.restarts += 1
+        self.servers.append(server)
+
+
 class UsableServers(typing.NamedTuple):
     """The servers of a service that may get requests, in table order.
 
@@ -137,7 +162,7 @@
     """One backend server.  Times are on the clock of this VM.
 
     ``index`` finds the server by its cached objects as long as it is in the
-    table.
+    table.  ``load_changes`` is told of each change of the load.
     """
 
     def __init__(
@@ -146,18 +171,19 @@
         region: str,
         announcements: Announcements,
         index: ObjectIndex,
+        load_changes: LoadChanges,
         now: float,
     ) -> None:
         self.entry = entry
         self.region = region
         self.announcements = announcements
         self.index: ObjectIndex | None = index
+        self.load_changes = load_changes
         self.cold_until = now + entry.cold_left_s
         # Time of the last request sent to the server while it was cold.
         self.last_cold_sent_at = float('-inf')
         self.last_sent_at = float('-inf')
-        # Requests of this VM at the server.
-        self.in_progress = 0
+        self._in_progress = 0
         # Estimate of the requests of other VMs at the server, and its time.
         self.other_vm_requests = 0.0
         self.other_vm_requests_at = now
@@ -175,9 +201,21 @@
         # Requests that wait on this VM for a slot of this server.
         self.waiting_requests = 0
 
+    @property
+    def in_progress(self) -> int:
+        """Requests of this VM at the server."""
+        return self._in_progress
+
+    @in_progress.setter
+    def in_progress(self, in_progress: int) -> None:
+        self._in_progress = in_progress
+        self.load_changes.add(self)
+
     def estimated_requests(self, now: float) -> float:
         """Return the estimated number of requests at the server."""
-        return self.in_progress + self.current_other_vm_requests(now)
+        if not self.other_vm_requests:
+            return float(self._in_progress)
+        return self._in_progress + self.current_other_vm_requests(now)
 
     def current_other_vm_requests(self, now: float) -> float:
         """Return the estimate of other VMs' requests, which decays."""
@@ -200,6 +238,7 @@
             reported - current
         )
         self.other_vm_requests_at = now
+        self.load_changes.add(self)
 
     def has_cached(self, object_key: str, now: float) -> bool:
         """Return whether the server is assumed to have an object cached."""
@@ -308,6 +347,7 @@
         self.evacuated_zones: set[str] = set()
         self.generation = Generation()
         self.objects = ObjectIndex()
+        self.load_changes = LoadChanges()
         # Usable servers by service, and the generation of which they are.
         self.usable_by_service: dict[str, UsableServers] = {}
         self.usable_generation = self.generation.number
@@ -341,6 +381,7 @@
                 region,
                 announcements or Announcements(self.generation),
                 self.objects,
+                self.load_changes,
                 now,
             )
             self.by_service.setdefault(entry.service, {})[entry.server_id] = (
--- a/tests/plain_placement.py
+++ b/tests/plain_placement.py
@@ -64,6 +64,7 @@
                 region,
                 announcements or _servers.Announcements(self.generation),
                 self.objects,
+                self.load_changes,
                 now,
             )
             self.by_service.setdefault(entry.service, {})[entry.server_id] = (
--- a/tests/test_placement_cache.py
+++ b/tests/test_placement_cache.py
@@ -265,8 +265,13 @@
 class TestSameDecisions(unittest.IsolatedAsyncioTestCase):
     """Random tables with changes between the decisions."""
 
-    async def play(self, seed: int, server_count: int, steps: int) -> None:
-        """Compare all decisions of one random course."""
+    async def play(
+        self, seed: int, server_count: int, steps: int, longest_s: float
+    ) -> None:
+        """Compare all decisions of one random course.
+
+        ``longest_s`` is the longest time between two operations.
+        """
         twins = Twins(seed, server_count)
         operations = random.Random(seed).choices(
             (
@@ -283,15 +288,9 @@
             k=steps,
         )
         for step, operation in enumerate(operations):
-            twins.now += twins.rng.choice(
-                (
-                    0.0,
-                    0.0,
-                    0.001,
-                    0.02,
-                    0.3,
-                    twins.rng.choice((0.5, 5.0, 90.0)),
-                )
+            twins.now += min(
+                longest_s,
+                twins.rng.choice((0.0, 0.0, 0.001, 0.02, 0.3, 0.5, 5.0, 90.0)),
             )
             decided = operation()
             if decided is not None:
@@ -305,7 +304,10 @@
         """Guards against kept orders and lists that change a decision."""
         for seed in range(40):
             with self.subTest(seed=seed):
-                await self.play(seed, (3, 12, 40)[seed % 3], 400)
+                await self.play(
+                    seed, (3, 12, 40)[seed % 3], 400, (0.02, 90.0)[seed % 2]
+                )
+        await self.play(40, 200, 2000, 0.3)
 
 
 class TestStaleOrders(unittest.TestCase):
@@ -433,6 +435,19 @@
         self.eligible('')
         self.assertEqual(orders.ordered_servers, 0)
 
+    def test_the_bounds_of_an_order_by_load_are_bounded(self) -> None:
+        """Guards against memory that grows with the requests."""
+        group, *_ = self.placement.ranked_groups(
+            steering.PlacementQuery(samples.route(), 'orders', '', None), False
+        )
+        for number in range(3000):
+            server = self.table.by_id[f's{number % 2}']
+            server.in_progress = number % 7
+            server.record_load(number % 5, 0, 50.0 + 0.001 * number)
+            self.eligible('')
+            self.assertLessEqual(group.load_order.bound_count, 13)
+            self.assertLessEqual(len(self.table.load_changes.servers), 1024)
+
     def test_the_ordered_servers_are_bounded(self) -> None:
         """Guards against memory that grows with objects times servers."""
         for number in range(500):
