Compare the order by load with a sort in a test

The comparison of whole decisions missed some wrong bounds. The new test found one: after a clock that went back, a change newer than now was applied as if it had decayed.

--- a/filbertstep/steering/_ranking.py
+++ b/filbertstep/steering/_ranking.py
@@ -87,7 +87,6 @@
             self.restarts != self.changes.restarts
             or self.bound_count > max_bounds
             or not 0.0 <= now - self.built_at <= MAX_LOAD_ORDER_AGE_S
-            or now < self.changed_at
         ):
             self.build(now)
         elif self.changes_read < len(self.changes.servers):
@@ -97,6 +96,9 @@
                 place = self.places.get(server)
                 if place is not None:
                     self.change(server, place)
+        if now < self.changed_at:
+            # Bounds of loads that are newer than ``now`` do not hold.
+            self.build(now)
         self.changes_read = len(self.changes.servers)
         age_s = now - self.built_at
         return float(
--- a/tests/test_placement_cache.py
+++ b/tests/test_placement_cache.py
@@ -310,6 +310,65 @@
         await self.play(40, 200, 2000, 0.3)
 
 
+class TestLeastLoaded(unittest.TestCase):
+    """The first servers of one group by load, as loads change."""
+
+    def play(self, seed: int, steps_s: tuple[float, ...]) -> None:
+        """Compare with a sort after each of some random changes."""
+        rng = random.Random(seed)
+        servers = samples.server_table(
+            *(
+                samples.server(f's{number}', slots=rng.choice((1, 2, 3, 3)))
+                for number in range(40)
+            )
+        )
+        records = list(servers.by_id.values())
+        order = _ranking.LoadOrder(tuple(records), servers.load_changes)
+        now = 100.0
+        for step in range(600):
+            now += rng.choice(steps_s)
+            server = rng.choice(records)
+            change = rng.randrange(8)
+            if change < 4:
+                server.record_load(rng.choice((0, 0, 1, 2, 5)), 0, now)
+            elif change < 6:
+                server.in_progress = rng.randrange(3)
+            elif change == 6:
+                for record in records:
+                    record.in_progress = rng.choice((0, step % 3, step % 3))
+            else:
+                for record in records:
+                    record.record_load(step % 4, 0, now)
+            refused = set(rng.sample(records, rng.choice((0, 3, 38))))
+            expected = sorted(
+                (record for record in records if record not in refused),
+                key=lambda record: (
+                    record.estimated_requests(now) / record.entry.slots
+                ),
+            )
+            for count in (1, 4):
+                self.assertEqual(
+                    order.least_loaded(
+                        count, now, lambda record: record not in refused
+                    ),
+                    expected[:count],
+                    (seed, step, count),
+                )
+
+    def test_the_order_is_that_of_a_sort(self) -> None:
+        """Guards against bounds that hide a server with a lower load."""
+        courses = {
+            'short': (0.0, 0.001, 0.1),
+            'long': (0.0, 0.3, 5.0, 40.0),
+            'loads that decay to nothing': (0.0, 0.01, 100.0, 700.0, 1600.0),
+            'a clock that goes back': (0.0, 0.4, -0.2, -0.1),
+        }
+        for name, steps_s in courses.items():
+            for seed in range(8):
+                with self.subTest(name=name, seed=seed):
+                    self.play(seed, steps_s)
+
+
 class TestStaleOrders(unittest.TestCase):
     """A server that must get no more requests, after it was ranked."""
 
