Skip decay that changes nothing in estimates

A server is estimated several times at the same time in a dispatch pass. The reference in the tests no longer shares the sum of a server's requests.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -609,8 +609,11 @@
 
         ``rank`` is the place of the server in its group, 0 for the first.
         """
-        server.decay_health(now)
-        slots = max(1, server.entry.slots)
+        if server.health_updated_at != now:
+            server.decay_health(now)
+        slots = server.entry.slots
+        if slots < 1:
+            slots = 1
         max_requests = slots
         extra_s = 0.0
         if distance is Distance.SAME_ZONE:
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -221,7 +221,9 @@
         """Return the estimate of other VMs' requests, which decays."""
         if not self.other_vm_requests:
             return 0.0
-        age_s = max(0.0, now - self.other_vm_requests_at)
+        age_s = now - self.other_vm_requests_at
+        if age_s <= 0.0:
+            return self.other_vm_requests
         return float(
             self.other_vm_requests * 0.5 ** (age_s / LOAD_REPORT_HALF_LIFE_S)
         )
--- a/tests/plain_placement.py
+++ b/tests/plain_placement.py
@@ -17,6 +17,10 @@
 class PlainRecord(steering.ServerRecord):
     """A record whose decays are always computed."""
 
+    def estimated_requests(self, now: float) -> float:
+        """Return the estimated number of requests at the server."""
+        return self.in_progress + self.current_other_vm_requests(now)
+
     def current_other_vm_requests(self, now: float) -> float:
         """Return the estimate of other VMs' requests, which decays."""
         age_s = max(0.0, now - self.other_vm_requests_at)
--- a/tests/test_placement_cache.py
+++ b/tests/test_placement_cache.py
@@ -504,7 +504,7 @@
             server.in_progress = number % 7
             server.record_load(number % 5, 0, 50.0 + 0.001 * number)
             self.eligible('')
-            self.assertLessEqual(group.load_order.bound_count, 13)
+            self.assertLessEqual(group.load_order.bound_count, 12)
             self.assertLessEqual(len(self.table.load_changes.servers), 1024)
 
     def test_the_ordered_servers_are_bounded(self) -> None:
