Bound the exponent of a load newer than the time of a decision

After a clock that goes back by half an hour, the factor that refers a load to the time of its order overflowed, and the exception ended the decision.

--- a/filbertstep/steering/_ranking.py
+++ b/filbertstep/steering/_ranking.py
@@ -22,7 +22,6 @@
 # Longest object key whose orders are kept.  Callers choose the keys.
 MAX_KEY_CHARACTERS: typing.Final = 256
 
-
 # Age after which an order of load is built again.  Until then, no load in it
 # decays to so little that its lower bound is inaccurate.
 MAX_LOAD_ORDER_AGE_S: typing.Final = 30.0
@@ -121,9 +120,11 @@
         changed_at = server.other_vm_requests_at
         if changed_at >= self.built_at:
             self.changed_at = max(self.changed_at, changed_at)
-            # What would have decayed to this estimate since ``built_at``.
+            # What would have decayed to this estimate since ``built_at``.  A
+            # longer time ends after ``now``, and the order is built again.
+            age_s = min(MAX_LOAD_ORDER_AGE_S, changed_at - self.built_at)
             requests = server.other_vm_requests * 2.0 ** (
-                (changed_at - self.built_at) / _servers.LOAD_REPORT_HALF_LIFE_S
+                age_s / _servers.LOAD_REPORT_HALF_LIFE_S
             )
         else:
             requests = server.current_other_vm_requests(self.built_at)
@@ -174,9 +175,9 @@
                 other_load, place = bound
                 if (own_load + other_load * decay) * ROUNDING_MARGIN > limit:
                     break
-                if (own_load >= limit and place > limit_place) or current[
-                    place
-                ] is not bound:
+                if own_load >= limit and place > limit_place:
+                    continue
+                if current[place] is not bound:
                     continue
                 server = self.servers[place]
                 load = server.estimated_requests(now) / self.slots[place]
--- a/tests/test_placement_cache.py
+++ b/tests/test_placement_cache.py
@@ -362,6 +362,7 @@
             'long': (0.0, 0.3, 5.0, 40.0),
             'loads that decay to nothing': (0.0, 0.01, 100.0, 700.0, 1600.0),
             'a clock that goes back': (0.0, 0.4, -0.2, -0.1),
+            'a clock that goes back far': (0.0, 0.4, -0.2, 2000.0, -2000.0),
         }
         for name, steps_s in courses.items():
             for seed in range(8):
