--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -389,7 +389,9 @@
             group = service_groups.groups.get(servers)
             if group is None:
                 group = service_groups.groups[servers] = _ranking.ServerGroup(
-                    servers, tuple(position for position, _ in placed)
+                    servers,
+                    tuple(position for position, _ in placed),
+                    self.table.load_changes,
                 )
             groups.append(group)
         return tuple(groups)
@@ -418,7 +420,7 @@
                 chosen += self.first_ranked(group, query, now)
             else:
                 chosen += enumerate(
-                    group.least_loaded(
+                    group.load_order.least_loaded(
                         RANKED_SERVERS_PER_GROUP,
                         now,
                         lambda server: self.may_send(server, query, now),
@@ -434,7 +436,8 @@
         caching = {
             server
             for server in self.table.objects.servers.get(key, ())
-            if server in group.members and server.has_cached(key, now)
+            if server in group.load_order.places
+            and server.has_cached(key, now)
         }
         chosen: list[tuple[int, _servers.ServerRecord]] = []
         rank = 0
@@ -627,8 +630,11 @@
 
         ``rank`` is the place of the server in its group, 0 for the first.
         """
-        server.decay_health(now)
-        slots = max(1, server.entry.slots)
+        if server.health_updated_at != now:
+            server.decay_health(now)
+        slots = server.entry.slots
+        if slots < 1:
+            slots = 1
         max_requests = slots
         extra_s = 0.0
         if distance is Distance.SAME_ZONE:
--- a/tests/test_placement_cache.py
+++ b/tests/test_placement_cache.py
@@ -265,8 +265,13 @@
 class TestSameDecisions(unittest.IsolatedAsyncioTestCase):
     """Random tables with changes between the decisions."""
 
-    async def play(self, seed: int, server_count: int, steps: int) -> None:
-        """Compare all decisions of one random course."""
+    async def play(
+        self, seed: int, server_count: int, steps: int, longest_s: float
+    ) -> None:
+        """Compare all decisions of one random course.
+
+        ``longest_s`` is the longest time between two operations.
+        """
         twins = Twins(seed, server_count)
         operations = random.Random(seed).choices(
             (
@@ -283,15 +288,9 @@
             k=steps,
         )
         for step, operation in enumerate(operations):
-            twins.now += twins.rng.choice(
-                (
-                    0.0,
-                    0.0,
-                    0.001,
-                    0.02,
-                    0.3,
-                    twins.rng.choice((0.5, 5.0, 90.0)),
-                )
+            twins.now += min(
+                longest_s,
+                twins.rng.choice((0.0, 0.0, 0.001, 0.02, 0.3, 0.5, 5.0, 90.0)),
             )
             decided = operation()
             if decided is not None:
@@ -305,7 +304,70 @@
         """Guards against kept orders and lists that change a decision."""
         for seed in range(40):
             with self.subTest(seed=seed):
-                await self.play(seed, (3, 12, 40)[seed % 3], 400)
+                await self.play(
+                    seed, (3, 12, 40)[seed % 3], 400, (0.02, 90.0)[seed % 2]
+                )
+        await self.play(40, 200, 2000, 0.3)
+
+
+class TestLeastLoaded(unittest.TestCase):
+    """The first servers of one group by load, as loads change."""
+
+    def play(self, seed: int, steps_s: tuple[float, ...]) -> None:
+        """Compare with a sort after each of some random changes."""
+        rng = random.Random(seed)
+        servers = samples.server_table(
+            *(
+                samples.server(f's{number}', slots=rng.choice((1, 2, 3, 3)))
+                for number in range(40)
+            )
+        )
+        records = list(servers.by_id.values())
+        order = _ranking.LoadOrder(tuple(records), servers.load_changes)
+        now = 100.0
+        for step in range(600):
+            now += rng.choice(steps_s)
+            server = rng.choice(records)
+            change = rng.randrange(8)
+            if change < 4:
+                server.record_load(rng.choice((0, 0, 1, 2, 5)), 0, now)
+            elif change < 6:
+                server.in_progress = rng.randrange(3)
+            elif change == 6:
+                for record in records:
+                    record.in_progress = rng.choice((0, step % 3, step % 3))
+            else:
+                for record in records:
+                    record.record_load(step % 4, 0, now)
+            refused = set(rng.sample(records, rng.choice((0, 3, 38))))
+            expected = sorted(
+                (record for record in records if record not in refused),
+                key=lambda record: (
+                    record.estimated_requests(now) / record.entry.slots
+                ),
+            )
+            for count in (1, 4):
+                self.assertEqual(
+                    order.least_loaded(
+                        count, now, lambda record: record not in refused
+                    ),
+                    expected[:count],
+                    (seed, step, count),
+                )
+
+    def test_the_order_is_that_of_a_sort(self) -> None:
+        """Guards against bounds that hide a server with a lower load."""
+        courses = {
+            'short': (0.0, 0.001, 0.1),
+            'long': (0.0, 0.3, 5.0, 40.0),
+            'loads that decay to nothing': (0.0, 0.01, 100.0, 700.0, 1600.0),
+            'a clock that goes back': (0.0, 0.4, -0.2, -0.1),
+            'a clock that goes back far': (0.0, 0.4, -0.2, 2000.0, -2000.0),
+        }
+        for name, steps_s in courses.items():
+            for seed in range(8):
+                with self.subTest(name=name, seed=seed):
+                    self.play(seed, steps_s)
 
 
 class TestStaleOrders(unittest.TestCase):
@@ -433,6 +495,19 @@
         self.eligible('')
         self.assertEqual(orders.ordered_servers, 0)
 
+    def test_the_bounds_of_an_order_by_load_are_bounded(self) -> None:
+        """Guards against memory that grows with the requests."""
+        group, *_ = self.placement.ranked_groups(
+            steering.PlacementQuery(samples.route(), 'orders', '', None), False
+        )
+        for number in range(3000):
+            server = self.table.by_id[f's{number % 2}']
+            server.in_progress = number % 7
+            server.record_load(number % 5, 0, 50.0 + 0.001 * number)
+            self.eligible('')
+            self.assertLessEqual(group.load_order.bound_count, 12)
+            self.assertLessEqual(len(self.table.load_changes.servers), 1024)
+
     def test_the_ordered_servers_are_bounded(self) -> None:
         """Guards against memory that grows with objects times servers."""
         for number in range(500):
