--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -245,12 +245,7 @@
         this VM's requests in progress.
         """
         reported = max(0, running + waiting - self.in_progress)
-        current = self.current_other_vm_requests(now)
-        self.other_vm_requests = current + LOAD_REPORT_WEIGHT * (
-            reported - current
-        )
-        self.other_vm_requests_at = now
-        self.load_changes.add(self)
+        self.update_other_vm_requests(reported, LOAD_REPORT_WEIGHT, now)
 
     def record_shared_load(
         self, running: int, waiting: int, reported_at: float, now: float
@@ -263,9 +258,16 @@
         reported = max(0, running + waiting - 1 - self.in_progress)
         age_s = max(0.0, now - reported_at)
         weight = LOAD_REPORT_WEIGHT * 0.5 ** (age_s / LOAD_REPORT_HALF_LIFE_S)
+        self.update_other_vm_requests(reported, weight, now)
+
+    def update_other_vm_requests(
+        self, reported: int, weight: float, now: float
+    ) -> None:
+        """Move the estimate toward a reported number of requests."""
         current = self.current_other_vm_requests(now)
         self.other_vm_requests = current + weight * (reported - current)
         self.other_vm_requests_at = now
+        self.load_changes.add(self)
 
     def record_machine(self, slowdown: float | None, now: float) -> None:
         """Record the slowdown of the machine that the server reported.
