--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -159,11 +159,12 @@
         self.clock = clock.FakeClock()
         self.table = samples.server_table(samples.server('s0'))
         # Any: the fake state has only what the exchange needs.
-        self.state: typing.Any = FakeState(
+        state: typing.Any = FakeState(
             self.table, FakeMembers({}), FakeSettings(name)
         )
+        self.state = state
         self.exchange = _report_exchange.ReportExchange(
-            self.state,
+            state,
             session,
             self.clock,
             metrics.Metrics(),
