--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -223,6 +223,9 @@
         self.configuration = configuration
         self.routes = steering.RouteTable(configuration)
         self.placement.services = configuration.services
+        self.placement.unequal_services = steering.unequal_services(
+            configuration
+        )
         self.log.write(
             'configuration',
             version=configuration.version,
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -291,6 +291,8 @@
             self.state.regions.record_latency(
                 server, took_s, admitted.route.target_s
             )
+            if candidate.slot_wait_s == 0.0:
+                self.state.placement.record_run_s(query.service, took_s)
             steering.record_run(
                 self.state.placement.route_run_times(admitted.route),
                 candidate,
--- a/filbertstep/steering/__init__.py
+++ b/filbertstep/steering/__init__.py
@@ -27,6 +27,7 @@
 from filbertstep.steering._regions import LoadSummary as LoadSummary
 from filbertstep.steering._regions import RegionSplitter as RegionSplitter
 from filbertstep.steering._routes import RouteTable as RouteTable
+from filbertstep.steering._routes import unequal_services as unequal_services
 from filbertstep.steering._routes import WeightedBalancer as WeightedBalancer
 from filbertstep.steering._servers import ServerRecord as ServerRecord
 from filbertstep.steering._servers import ServerTable as ServerTable
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -215,6 +215,7 @@
 
     Run times are in seconds on a server of normal speed.  ``maybe_cached_s``
     is that of the first server in rank, which may have the object cached.
+    ``slot_s`` is the time for which a request ahead holds a slot.
     ``own_copy_due_s`` is added for servers of other zones of the region.  The
     network costs are by distance.
     """
@@ -222,6 +223,7 @@
     cached_s: float
     maybe_cached_s: float
     uncached_s: float
+    slot_s: float
     own_copy_due_s: float
     same_zone_s: float
     same_region_s: float
@@ -273,6 +275,10 @@
         # VMs may.
         self.cold_senders: dict[tuple[str, int], bool] = {}
         self.copies = _copies.CopyPolicy()
+        # Services whose requests take very different times, and moving
+        # averages of the run times of their requests of all routes.
+        self.unequal_services: collections.abc.Set[str] = frozenset()
+        self.mean_run_s: dict[str, float] = {}
         # Derived from the table's usable servers of one generation.
         self.groups_by_service: dict[str, ServiceGroups] = {}
         self.rank_orders = _ranking.RankOrders()
@@ -601,6 +607,21 @@
             and now - server.last_sent_at > UNUSED_SERVER_S
         )
 
+    def slot_s(self, service: str, run_times: RunTimes) -> float:
+        """Return the expected time for which a request ahead holds a slot.
+
+        Where requests are unequal, those ahead are rather others than of the
+        same route.
+        """
+        if service not in self.unequal_services:
+            return run_times.cached_s
+        return self.mean_run_s.get(service, run_times.cached_s)
+
+    def record_run_s(self, service: str, run_s: float) -> None:
+        """Update the mean run time of a service, whatever the route."""
+        mean_s = self.mean_run_s.get(service, run_s)
+        self.mean_run_s[service] = mean_s + RUN_TIME_WEIGHT * (run_s - mean_s)
+
     def request_costs(
         self, query: PlacementQuery, own_copy_due_s: float
     ) -> RequestCosts:
@@ -611,6 +632,7 @@
             run_times.cached_s,
             run_times.expected_run_s(TOP_RANK_CACHED_PROBABILITY),
             run_times.uncached_s,
+            self.slot_s(query.service, run_times),
             own_copy_due_s,
             self.network_cost_s(Distance.SAME_ZONE, size_bytes),
             self.network_cost_s(Distance.SAME_REGION, size_bytes),
@@ -667,10 +689,7 @@
         slot_wait_s = 0.0
         if requests_ahead > slots - 0.5:
             slot_wait_s = (
-                (requests_ahead - slots + 1)
-                * costs.cached_s
-                * slowdown
-                / slots
+                (requests_ahead - slots + 1) * costs.slot_s * slowdown / slots
             )
         # A failure adds the time of the retry.
         risk_s = server.failure_rate * FAILURE_COST_RUNS * costs.uncached_s
--- a/filbertstep/steering/_routes.py
+++ b/filbertstep/steering/_routes.py
@@ -10,6 +10,10 @@
 # usual weights, whole numbers in a hundred, repeat.
 START_POINTS: typing.Final = 101
 
+# Ratio of the targets of two routes from which their requests count as
+# unequal: the wait behind a long one alone misses the target of a short one.
+MIN_UNEQUAL_TARGET_RATIO: typing.Final = 2.0
+
 
 class RouteTable:
     """Routes and API keys of one configuration.
@@ -38,6 +42,27 @@
         return None
 
 
+def unequal_services(
+    configuration: _model.Configuration,
+) -> frozenset[str]:
+    """Return the services whose requests take very different times.
+
+    Their targets tell.  Only requests of client accounts count: public routes
+    often have no target of their own.
+    """
+    targets: dict[str, list[float]] = {}
+    for route in configuration.routes:
+        if route.public or route.target_s <= 0.0:
+            continue
+        for destination in route.destinations:
+            targets.setdefault(destination.service, []).append(route.target_s)
+    return frozenset(
+        service
+        for service, times in targets.items()
+        if max(times) >= MIN_UNEQUAL_TARGET_RATIO * min(times)
+    )
+
+
 class WeightedBalancer:
     """Distributes a route's requests over its destinations by weight.
 
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -549,3 +549,57 @@
         run_times = steering.RunTimes(0.0)
         self.assertTrue(run_times.was_cached(True, 0.1, 1.0))
         self.assertFalse(run_times.was_cached(False, 0.1, 1.0))
+
+
+class TestUnequalRequests(PlacementCase):
+    """Pattern: long requests beside urgent short ones on the same servers."""
+
+    def test_a_wait_behind_long_requests_is_long(self) -> None:
+        """Guards against a short wait that is estimated behind long runs.
+
+        The first in rank has the object, but long requests fill its slots.
+        """
+        placement = self.build_placement(
+            samples.server('s0'), samples.server('s1')
+        )
+        first = self.choose(placement, build_query())
+        server = placement.table.by_id[first]
+        server.record_object('x', 100.0)
+        for record in placement.table.by_id.values():
+            record.last_sent_at = 100.0
+        server.in_progress = 3
+        for _ in range(200):
+            placement.record_run_s('orders', 4.0)
+        self.assertEqual(self.choose(placement, build_query()), first)
+        placement.unequal_services = frozenset({'orders'})
+        self.assertNotEqual(self.choose(placement, build_query()), first)
+
+    def test_targets_tell_which_requests_are_unequal(self) -> None:
+        """Guards against a change for services with requests of one kind."""
+        short, long, public = (
+            samples.route(name='short'),
+            samples.route(name='long', target_s=2.0),
+            samples.route(name='public', target_s=2.0, public=True),
+        )
+        for routes, expected in (
+            ((short,), set()),
+            ((short, long), {'orders'}),
+            ((short, public), set()),
+            ((short, samples.route(target_s=0.6)), set()),
+            ((short, samples.route(target_s=0.0)), set()),
+            (
+                (
+                    short,
+                    long._replace(
+                        destinations=(steering.Destination('stock', 1.0),)
+                    ),
+                ),
+                set(),
+            ),
+        ):
+            with self.subTest(routes=[route.name for route in routes]):
+                configuration = samples.configuration(routes=routes)
+                self.assertEqual(
+                    steering.unequal_services(configuration),
+                    expected,
+                )
