Order waiting requests by what callers lose under overload

By priority alone, requests with time left take slots from others that miss their targets, and a request is rejected by its estimated wait whatever waits before it. Services with requests of priority 0 and of another one plan their queue by target, weight, work and deadline now (setting overload_order).

--- a/filbertstep/_metrics.py
+++ b/filbertstep/_metrics.py
@@ -32,6 +32,18 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.waits = prometheus_client.Counter(
+            'filbertstep_waits',
+            'Requests that waited for a slot, by service and priority.',
+            ('service', 'priority'),
+            registry=self.registry,
+        )
+        self.rejected_overload = prometheus_client.Counter(
+            'filbertstep_rejected_overload',
+            'Requests rejected for lack of slots, by service and priority.',
+            ('service', 'priority'),
+            registry=self.registry,
+        )
         self.lookups = prometheus_client.Counter(
             'filbertstep_lookups',
             'Look-ups by service.',
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -272,6 +272,7 @@
     ``log_lines_per_s`` is the limit for each kind of log line,
     ``body_memory_bytes`` that for the bodies of all unanswered requests, and
     ``answer_memory_bytes`` that for all answers that are being read.
+    ``overload_order`` orders the requests that wait for a slot.
     """
 
     vm: str
@@ -292,6 +293,7 @@
     body_memory_bytes: int
     answer_memory_bytes: int
     bounds: steering.Bounds
+    overload_order: steering.OverloadOrder = steering.OverloadOrder.AUTO
 
 
 class Platform(abc.ABC):
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -225,7 +225,7 @@
         """Run periodic work in an endless loop.
 
         Applies held deletions, adjusts the split over regions, dispatches
-        waiting requests, and flushes the log.
+        waiting requests, notes the end of overloads, and flushes the log.
         """
         while True:
             now = self.clock.now()
@@ -246,6 +246,7 @@
                 )
             for service in list(self.state.wait_queue.queues):
                 self.state.wait_queue.dispatch(service, now)
+            self.request_handler.log_ended_overloads(now)
             self.log.flush()
             await asyncio.sleep(TICK_INTERVAL_S)
 
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -63,6 +63,7 @@
         self.request_peer_tokens = request_peer_tokens
         # Requests refused because this VM stops.
         self.stop_refusals = 0
+        self.overloads = steering.OverloadTable()
 
     def has_non_idempotent_in_flight(self, request_id: str) -> bool:
         """Return whether this id is of a non-idempotent request in flight."""
@@ -308,47 +309,57 @@
             ):
                 steering.reserve_slot(best, now)
                 return best
-            if not best.can_send_now and best.slot_wait_s > max_wait_s:
-                return self.refuse_no_slot(best.slot_wait_s)
-            reserved = await self.wait_for_slot(
-                admitted,
+            cost = self.request_cost(admitted, best, now)
+            if (
+                cost is None
+                and not best.can_send_now
+                and best.slot_wait_s > max_wait_s
+            ):
+                return self.refuse_no_slot(admitted, best.slot_wait_s)
+            wait_end = self.before_exit(
+                wait_until if cost is None else cost.latest_start
+            )
+            waiter = steering.WaitingRequest(
                 placed_query,
-                self.before_exit(wait_until),
+                effective_priority(admitted),
                 now,
+                admitted.call.arrived_at + admitted.route.target_s,
+                wait_end,
+                cost,
+                self.before_exit(wait_until),
             )
+            reserved = await self.wait_for_slot(admitted, waiter, best, now)
             now = self.clock.now()
             if reserved is not None:
                 if self.can_finish(admitted, reserved, now):
                     return reserved
                 reserved.server.in_progress -= 1
                 return self.refuse_stopping()
-            if now >= self.before_exit(wait_until):
-                return self.refuse_no_slot(best.slot_wait_s)
+            if waiter.retry_after_s is not None:
+                return self.refuse_no_slot(admitted, waiter.retry_after_s)
+            if now >= min(waiter.deadline, self.before_exit(wait_end)):
+                return self.refuse_no_slot(admitted, best.slot_wait_s)
             # No server of the query wants the request any more, but those of
             # another region may.
 
     async def wait_for_slot(
         self,
         admitted: _messages.Admitted,
-        query: steering.PlacementQuery,
-        wait_until: float,
+        waiter: steering.WaitingRequest,
+        best: steering.Candidate,
         now: float,
     ) -> steering.Candidate | None:
         """Wait in the queue of the service for a slot.
 
-        Returns the reserved candidate, or None if there is none until
-        ``wait_until``, or if no server wants any request.
+        ``best`` is the best server now.  Returns the reserved candidate, or
+        None if there is none until the deadline of the waiting request, if no
+        server wants any request, or if the request is rejected.
         """
         state = self.state
-        waiter = steering.WaitingRequest(
-            query,
-            effective_priority(admitted),
-            now,
-            admitted.call.arrived_at + admitted.route.target_s,
-            wait_until,
-        )
-        state.wait_queue.add(waiter)
-        state.wait_queue.dispatch(query.service, now)
+        self.counters.waits.labels(
+            admitted.service, str(effective_priority(admitted))
+        ).inc()
+        state.wait_queue.start_wait(waiter, best, now)
         try:
             return await waiter.future
         except asyncio.CancelledError:
@@ -360,6 +371,29 @@
         finally:
             state.wait_queue.discard(waiter)
 
+    def request_cost(
+        self,
+        admitted: _messages.Admitted,
+        best: steering.Candidate,
+        now: float,
+    ) -> steering.RequestCost | None:
+        """Return what a request is worth and takes on its best server.
+
+        It is None if the order by cost does not apply, or a figure is wrong.
+        """
+        if not self.state.wait_queue.plans(admitted.service, now):
+            return None
+        return steering.make_cost(
+            admitted.route,
+            admitted.account,
+            effective_priority(admitted),
+            admitted.call.arrived_at,
+            admitted.deadline,
+            best.run_s / best.server.slowdown,
+            best.run_s,
+            MIN_ATTEMPT_S,
+        )
+
     def before_exit(self, wait_until: float) -> float:
         """Return ``wait_until``, or the last useful time before the exit."""
         return min(wait_until, self.state.stop.exits_at - MIN_ATTEMPT_S)
@@ -447,14 +481,39 @@
         )
         return self.state.placement.accepting_from(query, now) - now
 
-    def refuse_no_slot(self, slot_wait_s: float) -> _messages.Reply:
+    def refuse_no_slot(
+        self, admitted: _messages.Admitted, slot_wait_s: float
+    ) -> _messages.Reply:
         """Return the failure reply for a request without a slot in time."""
+        service, now = admitted.service, self.clock.now()
+        self.counters.rejected_overload.labels(
+            service, str(effective_priority(admitted))
+        ).inc()
+        if self.overloads.record_rejection(service, now):
+            self.state.log.write(
+                'overload',
+                service=service,
+                entered=True,
+                waiting=self.state.wait_queue.length(service),
+                slots=self.state.wait_queue.known_slots(service),
+            )
         return _messages.failure_reply(
             ErrorKind.NO_ROOM,
             'no slot becomes free in time',
             _messages.clamp_retry_after(slot_wait_s),
         )
 
+    def log_ended_overloads(self, now: float) -> None:
+        """Log which services have left overload."""
+        for service, lasted_s, rejected in self.overloads.ended(now):
+            self.state.log.write(
+                'overload',
+                service=service,
+                entered=False,
+                lasted_s=round(lasted_s, 3),
+                rejected=rejected,
+            )
+
     def refuse_stopping(self) -> _messages.Reply:
         """Return the failure reply while this VM stops and others serve."""
         self.stop_refusals += 1
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -132,6 +132,17 @@
             self.regions,
         ):
             table.bounds = settings.bounds
+        self.update_overload_order()
+
+    def update_overload_order(self) -> None:
+        """Set which services' queues are ordered by cost."""
+        services = steering.cost_services(
+            self.settings.overload_order, self.configuration
+        )
+        if services == self.wait_queue.schedules.keys():
+            return
+        self.wait_queue.order_by_cost(services, self.clock.now())
+        self.log.write('overload_order', by_cost=sorted(services))
 
     def apply_change(self, change: _contracts.Change) -> None:
         """Apply a change of a key to the tables.
@@ -218,6 +229,7 @@
         self.configuration = configuration
         self.routes = steering.RouteTable(configuration)
         self.placement.services = configuration.services
+        self.update_overload_order()
         self.log.write(
             'configuration',
             version=configuration.version,
--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -58,6 +58,9 @@
         typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
     ]
     bounds: BoundsDoc
+    overload_order: typing.NotRequired[
+        typing.Literal['priority', 'cost', 'auto']
+    ]
 
 
 # Maximum number of log lines per second and kind.
@@ -138,5 +141,8 @@
                 rate_tolerance=bounds['quota_over'],
                 rate_slack_tokens=bounds['quota_slack'],
             ),
+            overload_order=steering.OverloadOrder(
+                doc.get('overload_order', steering.OverloadOrder.AUTO.value)
+            ),
         )
     )
--- a/filbertstep/steering/__init__.py
+++ b/filbertstep/steering/__init__.py
@@ -15,6 +15,11 @@
 from filbertstep.steering._model import Route as Route
 from filbertstep.steering._model import ServerEntry as ServerEntry
 from filbertstep.steering._model import Service as Service
+from filbertstep.steering._overload import cost_services as cost_services
+from filbertstep.steering._overload import make_cost as make_cost
+from filbertstep.steering._overload import OverloadOrder as OverloadOrder
+from filbertstep.steering._overload import OverloadTable as OverloadTable
+from filbertstep.steering._overload import RequestCost as RequestCost
 from filbertstep.steering._placement import Candidate as Candidate
 from filbertstep.steering._placement import Placement as Placement
 from filbertstep.steering._placement import PlacementQuery as PlacementQuery
--- a/filbertstep/steering/_waiting.py
+++ b/filbertstep/steering/_waiting.py
@@ -1,14 +1,18 @@
 """Queues of requests that wait on this VM for a slot of a server.
 
 Each service has a queue, ordered by priority and then by the time at which
-the answer should arrive.  A waiting request counts as load of the server that
-is currently best for it, so that the next request sees a longer queue there.
+the answer should arrive, or by cost (see ``_overload``).  A waiting request
+counts as load of the server that is currently best for it, so that the next
+request sees a longer queue there.
 """
 
 import asyncio
+import collections.abc
 import typing
 
+from filbertstep.steering import _overload
 from filbertstep.steering import _placement
+from filbertstep.steering import _servers
 
 
 class WaitingRequest:
@@ -18,6 +22,11 @@
     wait ends.  The future resolves to the server to use, with a slot reserved,
     or to None: at the deadline, or as soon as there is no server that wants
     any request.
+
+    ``cost`` is set in a service whose queue is ordered by cost; the wait of a
+    request there that has none, or while nothing is known of the slots, ends
+    at ``former_deadline``.  A request that is rejected gets None, and
+    ``retry_after_s`` tells when its caller may return.
     """
 
     def __init__(
@@ -27,10 +36,24 @@
         arrived_at: float,
         target_time: float,
         deadline: float,
+        cost: _overload.RequestCost | None = None,
+        former_deadline: float = float('inf'),
     ) -> None:
         self.query = query
-        self.sort_key = (priority, target_time, arrived_at)
+        self.priority_key: _overload.SortKey = (
+            priority,
+            target_time,
+            arrived_at,
+        )
+        self.sort_key: _overload.SortKey = self.priority_key
         self.deadline = deadline
+        self.cost = cost
+        self.former_deadline = former_deadline
+        self.waits_since = arrived_at
+        self.goes_first = False
+        self.retry_after_s: float | None = None
+        # The server that was best when servers were compared last.
+        self.best_server: _servers.ServerRecord | None = None
         self.future: asyncio.Future[_placement.Candidate | None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -42,6 +65,41 @@
     def __init__(self, placement: _placement.Placement) -> None:
         self.placement = placement
         self.queues: dict[str, list[WaitingRequest]] = {}
+        # Services whose queues are ordered by cost.
+        self.schedules: dict[str, _overload.ServiceSchedule] = {}
+
+    def order_by_cost(
+        self, services: collections.abc.Set[str], now: float
+    ) -> None:
+        """Order the queues of these services by cost, others by priority."""
+        for service in self.schedules.keys() - services:
+            del self.schedules[service]
+            queue = self.queues.get(service, [])
+            for request in queue:
+                request.sort_key = request.priority_key
+                request.deadline = min(
+                    request.deadline, request.former_deadline
+                )
+            queue.sort(key=lambda queued: queued.sort_key)
+        for service in services - self.schedules.keys():
+            self.schedules[service] = _overload.ServiceSchedule(now)
+
+    def plans(self, service: str, now: float) -> bool:
+        """Return whether there are plans for the requests of a service.
+
+        There are none without figures on the slots that this VM can use.
+        """
+        schedule = self.schedules.get(service)
+        if schedule is None:
+            return False
+        self.count_slots(schedule, service, now)
+        return schedule.slots() is not None
+
+    def known_slots(self, service: str) -> float | None:
+        """Return the slots that plans reckon with, None without any."""
+        schedule = self.schedules.get(service)
+        slots = None if schedule is None else schedule.slots()
+        return None if slots is None else round(slots, 2)
 
     def length(self, service: str) -> int:
         """Return the number of waiting requests of a service."""
@@ -50,9 +108,54 @@
     def add(self, request: WaitingRequest) -> None:
         """Add a request to the queue of its service."""
         queue = self.queues.setdefault(request.query.service, [])
+        schedule = self.schedules.get(request.query.service)
+        if schedule is not None:
+            now = request.waits_since
+            schedule.supply.advance(now, bool(queue))
+            if request.cost is not None:
+                schedule.record_arrival(request.cost, now)
+            if schedule.has_plan:
+                request.sort_key = (
+                    schedule.provisional_key(request.cost, now)
+                    if request.cost is not None
+                    else uncosted_key(request)
+                )
         queue.append(request)
         queue.sort(key=lambda queued: queued.sort_key)
 
+    def start_wait(
+        self,
+        request: WaitingRequest,
+        best: _placement.Candidate,
+        now: float,
+    ) -> None:
+        """Add a request for which ``best`` was found, and dispatch.
+
+        In the order by cost, servers are compared again only if there is a
+        free slot.
+        """
+        service = request.query.service
+        schedule = self.schedules.get(service)
+        if (
+            schedule is not None
+            and request.cost is not None
+            and not best.can_send_now
+            and schedule.is_hopeless(request.cost, now)
+        ):
+            schedule.record_seen(request.cost, now)
+            request.retry_after_s = schedule.reject(request.cost, now)
+            request.future.set_result(None)
+            return
+        self.add(request)
+        if schedule is None or best.can_send_now:
+            self.dispatch(service, now)
+            return
+        self.update_plan(schedule, service, now)
+        self.queues[service] = end_rejected(self.queues[service])
+        if not request.future.done():
+            request.best_server = best.server
+            best.server.waiting_requests += 1
+
     def discard(self, request: WaitingRequest) -> None:
         """Remove a request if it is still queued.
 
@@ -77,6 +180,10 @@
         queue = self.queues.get(service)
         if queue is None:
             return
+        schedule = self.schedules.get(service)
+        if schedule is not None:
+            self.dispatch_by_cost(schedule, service, now)
+            return
         servers = self.placement.table.by_service.get(service, {})
         for server in servers.values():
             server.waiting_requests = 0
@@ -106,6 +213,155 @@
             # The counts of waiting requests were reset above.
             del self.queues[service]
 
+    def dispatch_by_cost(
+        self, schedule: _overload.ServiceSchedule, service: str, now: float
+    ) -> None:
+        """Dispatch what can be sent, in the order of the service's plan.
+
+        Servers are compared for the first requests only, so that the cost of
+        a dispatch does not grow with the queue.
+        """
+        schedule.supply.advance(now, True)
+        self.update_plan(schedule, service, now)
+        for server in self.placement.table.by_service.get(
+            service, {}
+        ).values():
+            server.waiting_requests = 0
+        compares_all = schedule.wants_comparison_of_all(now)
+        compared: dict[object, int] = {}
+        remaining = []
+        for request in self.queues[service]:
+            if request.future.done():
+                schedule.changes += 1
+                continue
+            if now >= request.deadline:
+                schedule.changes += 1
+                request.future.set_result(None)
+                continue
+            query = request.query
+            scope = (query.region, query.allowed_regions)
+            count = compared.get(scope, 0)
+            if count < _overload.COMPARED_REQUESTS or compares_all:
+                candidate = self.placement.best_candidate(query, now)
+                if candidate is not None and candidate.can_send_now:
+                    # As in ``dispatch``, the slot is reserved here.
+                    reserve_slot(candidate, now)
+                    record_dispatch(schedule, request, now)
+                    request.future.set_result(candidate)
+                    continue
+                if (
+                    candidate is None
+                    and self.placement.accepting_from(query, now) > now
+                ):
+                    schedule.changes += 1
+                    request.future.set_result(None)
+                    continue
+                compared[scope] = count + 1
+                request.best_server = (
+                    None if candidate is None else candidate.server
+                )
+            if request.best_server is not None:
+                request.best_server.waiting_requests += 1
+            remaining.append(request)
+        remaining = end_rejected(remaining)
+        if remaining:
+            self.queues[service] = remaining
+        else:
+            schedule.record_empty()
+            del self.queues[service]
+
+    def update_plan(
+        self, schedule: _overload.ServiceSchedule, service: str, now: float
+    ) -> None:
+        """Plan the queue of a service anew if there is reason to.
+
+        Requests that have no chance get their Retry-After.  They are rejected
+        only after the dispatch, as a slot may be free that no other can use.
+        """
+        queue = self.queues.get(service, [])
+        if not schedule.is_due(len(queue), now):
+            return
+        self.count_slots(schedule, service, now)
+        costed = [
+            (request, request.cost)
+            for request in queue
+            if request.cost is not None and not request.future.done()
+        ]
+        costs = [cost for _, cost in costed]
+        plan = schedule.plan(costs, now)
+        for request in queue:
+            request.goes_first = False
+            request.retry_after_s = None
+            if plan is None:
+                request.sort_key = request.priority_key
+                request.deadline = min(
+                    request.deadline, request.former_deadline
+                )
+            elif request.cost is None:
+                request.sort_key = uncosted_key(request)
+        if plan is not None:
+            for index, key in enumerate(plan.sort_keys(costs)):
+                costed[index][0].sort_key = key
+            if plan.first is not None:
+                costed[plan.first][0].goes_first = True
+            for rejection in schedule.rejections_of(costs, plan, now):
+                costed[rejection.position][
+                    0
+                ].retry_after_s = rejection.retry_after_s
+        queue.sort(key=lambda queued: queued.sort_key)
+
+    def count_slots(
+        self, schedule: _overload.ServiceSchedule, service: str, now: float
+    ) -> None:
+        """Count the slots of a service that this VM can use.
+
+        In other regions, these are only those that it uses already.
+        """
+        if not schedule.wants_count(now):
+            return
+        placement = self.placement
+        schedule.record_count(
+            sum(
+                max(
+                    server.in_progress,
+                    server.entry.slots - server.current_other_vm_requests(now)
+                    if server.region == placement.region
+                    and not server.has_requested_pause(now)
+                    else 0.0,
+                )
+                for server in placement.table.usable_servers(service, None)
+            ),
+            now,
+        )
+
+
+def uncosted_key(request: WaitingRequest) -> _overload.SortKey:
+    """Return the place of a request without a plan, as if it were on time."""
+    return (_overload.ON_TIME_TIER, *request.priority_key[1:])
+
+
+def end_rejected(queue: list[WaitingRequest]) -> list[WaitingRequest]:
+    """End the waits of rejected requests; return the other requests."""
+    kept = []
+    for request in queue:
+        if request.retry_after_s is None:
+            kept.append(request)
+        elif not request.future.done():
+            request.future.set_result(None)
+    return kept
+
+
+def record_dispatch(
+    schedule: _overload.ServiceSchedule, request: WaitingRequest, now: float
+) -> None:
+    """Record that a request which waited got a slot."""
+    if request.cost is None:
+        schedule.changes += 1
+        return
+    if request.goes_first:
+        schedule.charge_first(request.cost)
+    schedule.record_dispatch(request.cost, now)
+
 
 def reserve_slot(candidate: _placement.Candidate, now: float) -> None:
     """Reserve a slot of a server for a request that is about to be sent."""
