--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -61,6 +61,9 @@
         typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
     ]
     bounds: BoundsDoc
+    overload_order: typing.NotRequired[
+        typing.Literal['priority', 'cost', 'auto']
+    ]
 
 
 # Maximum number of log lines per second and kind.
@@ -142,5 +145,8 @@
                 rate_slack_tokens=bounds['quota_slack'],
                 cold_slack=bounds.get('cold_slack') or 0.0,
             ),
+            overload_order=steering.OverloadOrder(
+                doc.get('overload_order', steering.OverloadOrder.AUTO.value)
+            ),
         )
     )
