Ask for no more rate tokens than a VM will use

Where a VM has few requests of an account, it asked two holders for two tokens and used one; the other expired. Such a VM now asks one holder after the other, those of its region first, until it has what the request lacks. Requests that wait for the same answer ask again.

--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -30,6 +30,9 @@
 
 PEERS_PER_TOKEN_REQUEST: typing.Final = 2
 
+# Holders that are asked one after the other for one request.
+MAX_HOLDERS_IN_TURN: typing.Final = 4
+
 # After peers gave less than one token, no request for the account is sent
 # during this time.
 NO_TOKENS_BACKOFF_S: typing.Final = 0.4
@@ -180,53 +183,89 @@
     async def request_from_holders(
         self, account: steering.ClientAccount
     ) -> float:
-        """Ask some of the account's holders, different ones each time."""
+        """Ask some of the account's holders, different ones each time.
+
+        A VM with few requests of the account asks one after the other, until
+        it has the token for one request.
+        """
+        quotas = self.state.quotas
+        wanted = quotas.tokens_to_request(account, self.clock.now())
+        if quotas.has_frequent_requests(account, self.clock.now()):
+            peers = self.holders_to_ask(account)
+            given = await asyncio.gather(
+                *(
+                    self.request_from_peer(
+                        peer, account.name, wanted / len(peers)
+                    )
+                    for peer in peers
+                )
+            )
+            total = sum(given)
+        else:
+            total = 0.0
+            for peer in self.holders_in_turn(account)[:MAX_HOLDERS_IN_TURN]:
+                total += await self.request_from_peer(
+                    peer, account.name, wanted - total
+                )
+                if total >= wanted:
+                    break
+        self.state.quotas.receive(account, total, self.clock.now())
+        if total < min(1.0, wanted):
+            self.backoff_until[account.name] = (
+                self.clock.now() + NO_TOKENS_BACKOFF_S
+            )
+        self.log.write(
+            'tokens', account=account.name, wanted=wanted, given=total
+        )
+        return total
+
+    def live_holders(
+        self, account: steering.ClientAccount
+    ) -> tuple[list[str], list[str]]:
+        """Return the peer addresses of the account's other live holders.
+
+        The first list is of those in this region, the second of all others.
+        """
         state = self.state
         holders = state.quotas.holders(account)
-        live_holders = [
-            member
-            for member in state.members.live.values()
-            if member.vm in holders and member.vm != state.settings.vm
-        ]
-        region = state.settings.region
-        same_region = [
-            member.peers for member in live_holders if member.region == region
-        ]
-        other_region = [
-            member.peers for member in live_holders if member.region != region
-        ]
-        # Bandwidth between regions is scarce: if both sides have holders, only
-        # every other request leaves the region.
+        own_region: list[str] = []
+        other_regions: list[str] = []
+        for member in state.members.live.values():
+            if member.vm in holders and member.vm != state.settings.vm:
+                is_near = member.region == state.settings.region
+                (own_region if is_near else other_regions).append(member.peers)
+        return own_region, other_regions
+
+    def holders_to_ask(self, account: steering.ClientAccount) -> list[str]:
+        """Return a few holders, which are asked at the same time.
+
+        Bandwidth between regions is scarce: if both sides have holders, only
+        every other request leaves the region.
+        """
+        own_region, other_regions = self.live_holders(account)
         peers = (
-            same_region
-            if same_region and self.request_count % 2 == 0
-            else other_region or same_region
+            own_region
+            if own_region and self.request_count % 2 == 0
+            else other_regions or own_region
         )
         self.request_count += 1
-        if not peers:
-            return 0.0
         count = min(PEERS_PER_TOKEN_REQUEST, len(peers))
-        chosen = [
+        return [
             peers[(self.request_count + step) % len(peers)]
             for step in range(count)
         ]
-        wanted_tokens = state.quotas.tokens_to_request(account) / count
-        given = await asyncio.gather(
-            *(
-                self.request_from_peer(peer, account.name, wanted_tokens)
-                for peer in chosen
-            )
-        )
-        total = sum(given)
-        self.state.quotas.receive(account, total, self.clock.now())
-        if total < 1.0:
-            self.backoff_until[account.name] = (
-                self.clock.now() + NO_TOKENS_BACKOFF_S
-            )
-        self.log.write(
-            'tokens', account=account.name, wanted=wanted_tokens, given=total
-        )
-        return total
+
+    def holders_in_turn(self, account: steering.ClientAccount) -> list[str]:
+        """Return the holders in the order in which to ask them.
+
+        Those of this region come first; each request begins with another one.
+        """
+        self.request_count += 1
+        return [
+            address
+            for addresses in self.live_holders(account)
+            for address in rotated(addresses, self.request_count)
+        ]
 
     async def request_from_peer(
         self, peer: str, account: str, wanted_tokens: float
@@ -257,6 +296,14 @@
         return max(0.0, min(answer['tokens'], wanted_tokens))
 
 
+def rotated(addresses: list[str], count: int) -> list[str]:
+    """Return the addresses from another one on, by a count."""
+    if not addresses:
+        return []
+    start = count % len(addresses)
+    return addresses[start:] + addresses[:start]
+
+
 def parse_number(request: web.BaseRequest, name: str) -> int:
     """Return a number from the query, 0 if it is missing or invalid."""
     return _decimals.parse_decimal(request.query.get(name, '')) or 0
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -199,13 +199,17 @@
             return None
         try:
             async with asyncio.timeout(PEER_TOKEN_WAIT_S):
-                await self.request_peer_tokens(account)
+                # Requests of the account that wait share the answers, so the
+                # tokens of one may be gone.
+                while await self.request_peer_tokens(account) > 0.0:
+                    if quotas.try_take(account, self.clock.now(), False):
+                        return None
         except TimeoutError:
             # The request to the peers continues; tokens that arrive later are
             # available to later requests.
             pass
         now = self.clock.now()
-        if quotas.try_take(account, now):
+        if quotas.try_take(account, now, False):
             return None
         return _messages.failure_reply(
             ErrorKind.OVER_RATE,
--- a/filbertstep/steering/_quota.py
+++ b/filbertstep/steering/_quota.py
@@ -33,6 +33,13 @@
 # use.  Tokens count against the account on whichever VM they are.
 UNUSED_TRANSFER_TTL_S: typing.Final = 2.0
 
+# A VM that expects fewer requests of an account than this, in the time for
+# which transferred tokens last, asks only for what the present request lacks.
+MIN_EXPECTED_REQUESTS: typing.Final = 2.0
+
+# Half-life of the demand for an account's tokens on this VM.
+DEMAND_HALF_LIFE_S: typing.Final = 2.0
+
 # Tokens that a VM keeps for its own callers when a peer requests tokens.
 RESERVED_TOKENS: typing.Final = 0.5
 
@@ -60,6 +67,24 @@
         self.updated_at = now
         # Time of the last request on this VM or transfer to it.
         self.last_used_at = float('-inf')
+        # Number of requests, each halved after the half-life, and the time of
+        # the last one.
+        self.demand = 0.0
+        self.demanded_at = now
+
+    def record_demand(self, now: float) -> None:
+        """Count a request for a token on this VM."""
+        self.demand = self.decayed_demand(now) + 1.0
+        self.demanded_at = now
+
+    def decayed_demand(self, now: float) -> float:
+        """Return the decayed number of requests."""
+        age_s = max(0.0, now - self.demanded_at)
+        return self.demand * float(0.5 ** (age_s / DEMAND_HALF_LIFE_S))
+
+    def demand_per_s(self, now: float) -> float:
+        """Return the rate of requests for tokens on this VM."""
+        return self.decayed_demand(now) * math.log(2.0) / DEMAND_HALF_LIFE_S
 
 
 class QuotaTable:
@@ -104,15 +129,23 @@
             self.holders_cache[(account.name, count)] = holders
         return holders
 
-    def try_take(self, account: _model.ClientAccount, now: float) -> bool:
+    def try_take(
+        self,
+        account: _model.ClientAccount,
+        now: float,
+        is_first_try: bool = True,
+    ) -> bool:
         """Take a token for one request; return False if there is none.
 
-        Accounts without a rate limit need no token.
+        Accounts without a rate limit need no token.  ``is_first_try`` tells
+        whether the request has not been counted yet.
         """
         if account.rate_per_s <= 0:
             return True
         bucket = self.refilled_bucket(account, now)
         bucket.last_used_at = now
+        if is_first_try:
+            bucket.record_demand(now)
         if bucket.tokens < 1.0:
             return False
         bucket.tokens -= 1.0
@@ -157,10 +190,32 @@
         ) / len(self.vms)
         return max(0.0, missing) / refill_per_s
 
-    def tokens_to_request(self, account: _model.ClientAccount) -> float:
-        """Return how many tokens to request from peers."""
+    def tokens_to_request(
+        self, account: _model.ClientAccount, now: float
+    ) -> float:
+        """Return how many tokens to request from peers.
+
+        Tokens that expire unused are lost to the account, so a VM with few
+        requests asks for no more than the present one lacks.
+        """
+        if not self.has_frequent_requests(account, now):
+            return self.missing_tokens(account, now)
         return max(2.0, self.refill_per_s(account))
 
+    def has_frequent_requests(
+        self, account: _model.ClientAccount, now: float
+    ) -> bool:
+        """Return whether tokens for further requests would be used in time."""
+        demand_per_s = self.refilled_bucket(account, now).demand_per_s(now)
+        return demand_per_s * UNUSED_TRANSFER_TTL_S >= MIN_EXPECTED_REQUESTS
+
+    def missing_tokens(
+        self, account: _model.ClientAccount, now: float
+    ) -> float:
+        """Return how many tokens the next request lacks."""
+        bucket = self.refilled_bucket(account, now)
+        return max(MIN_TRANSFER_TOKENS, 1.0 - bucket.tokens)
+
     def refill_per_s(self, account: _model.ClientAccount) -> float:
         """Return this VM's refill rate in tokens per second.
 
