--- a/tests/test_entry_program.py
+++ b/tests/test_entry_program.py
@@ -24,7 +24,13 @@
 
 
 class ProgramCase(unittest.IsolatedAsyncioTestCase):
-    """Base class: one VM, a store and a backend server."""
+    """Base class: one VM, a store and a backend server.
+
+    ``settings_fields`` are values of the settings that differ from the
+    samples.
+    """
+
+    settings_fields: typing.ClassVar[dict[str, object]] = {}
 
     async def asyncSetUp(self) -> None:
         """Start the fakes and the program."""
@@ -50,6 +56,7 @@
             pathlib.Path(folder.name),
             'vm-1',
             **{'platform.address': self.store.address},
+            **self.settings_fields,
         )
         self.vm.write_settings()
         self.addresses, self.metrics_address = (
