Limit what clients make a VM hold

After a parse error, aiohttp kept a copy of each further piece of data as an error text, 600 KB for each 256 KB; heads and trailers were limited by line only; lost connections held their queues until a garbage collection; nothing limited connections.

--- a/filbertstep/_metrics.py
+++ b/filbertstep/_metrics.py
@@ -86,6 +86,22 @@
             'Bytes of answers that are being read and not passed on yet.',
             registry=self.registry,
         )
+        self.intake_closes = prometheus_client.Counter(
+            'filbertstep_intake_closes',
+            'Connections closed because of a limit, by listener and reason.',
+            ('listener', 'reason'),
+            registry=self.registry,
+        )
+        self.unfinished_bytes = prometheus_client.Gauge(
+            'filbertstep_unfinished_request_bytes',
+            'Bytes of requests that have not arrived or wait for their turn.',
+            registry=self.registry,
+        )
+        self.unread_bytes = prometheus_client.Gauge(
+            'filbertstep_unread_answer_bytes',
+            'Bytes of answers that clients have not read.',
+            registry=self.registry,
+        )
         self.running = prometheus_client.Gauge(
             'filbertstep_running_requests',
             'Requests on a backend server now.',
--- a/filbertstep/emulator/_fleet.py
+++ b/filbertstep/emulator/_fleet.py
@@ -236,6 +236,10 @@
             log_lines_per_s=1.0,
             body_memory_bytes=0,
             answer_memory_bytes=0,
+            request_memory_bytes=0,
+            unread_memory_bytes=0,
+            connection_memory_bytes=0,
+            connection_share=0.375,
             bounds=BOUNDS,
         )
         state = entry.State(settings, Decoder(), self.clock, NoLog())
--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -74,6 +74,12 @@
             early.give_up()
             self.running.discard(early.running)
 
+    def held_answer_bytes(
+        self, connection: _connections.CallerConnection
+    ) -> int:
+        """Return the bytes of answers that wait for their turn."""
+        return self.pipelines.get(connection).held_answer_bytes()
+
     def start_early(
         self,
         connection: _connections.CallerConnection,
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -272,6 +272,10 @@
     ``log_lines_per_s`` is the limit for each kind of log line,
     ``body_memory_bytes`` that for the bodies of all unanswered requests, and
     ``answer_memory_bytes`` that for all answers that are being read.
+    ``request_memory_bytes`` is for unfinished requests,
+    ``unread_memory_bytes`` for answers that callers have not read,
+    ``connection_memory_bytes`` for callers' connections, which may take
+    ``connection_share`` of the process's descriptors.
     """
 
     vm: str
@@ -291,6 +295,10 @@
     log_lines_per_s: float
     body_memory_bytes: int
     answer_memory_bytes: int
+    request_memory_bytes: int
+    unread_memory_bytes: int
+    connection_memory_bytes: int
+    connection_share: float
     bounds: steering.Bounds
 
 
--- a/filbertstep/entry/_pipelines.py
+++ b/filbertstep/entry/_pipelines.py
@@ -95,6 +95,16 @@
                 break
         return ready
 
+    def held_answer_bytes(self) -> int:
+        """Return the bytes of finished answers whose turn has not come."""
+        return sum(
+            len(early.work.result().body)
+            for early in self.early_runs.values()
+            if early.work.done()
+            and not early.work.cancelled()
+            and early.work.exception() is None
+        )
+
     def finish(self, key: int) -> None:
         """Forget a request whose answer was written, or that ended."""
         self.requests.pop(key, None)
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -21,6 +21,7 @@
 from filbertstep.entry import _callers
 from filbertstep.entry import _connections
 from filbertstep.entry import _contracts
+from filbertstep.entry import _intake
 from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
@@ -43,6 +44,29 @@
 LISTEN_BACKLOG: typing.Final = 1024
 
 
+class CloseReporter(_intake.IntakeObserver):
+    """Counts and logs connections that were closed because of a limit."""
+
+    def __init__(
+        self, counters: metrics.Metrics, log: _log.DecisionLog
+    ) -> None:
+        self.counters = counters
+        self.log = log
+
+    def connection_closed(
+        self, listener: str, address: str, reason: _intake.CloseReason
+    ) -> None:
+        """Note a connection; idle ones are not logged."""
+        self.counters.intake_closes.labels(listener, reason.value).inc()
+        if reason is not _intake.CloseReason.IDLE:
+            self.log.write(
+                'intake_closed',
+                listener=listener,
+                client=address,
+                reason=reason.value,
+            )
+
+
 class EntryProgram:
     """All parts of one entry process."""
 
@@ -138,7 +162,13 @@
         self.load_exchange = _load_exchange.LoadExchange(
             self.state, self.session, self.clock, self.log
         )
+        self.intake = _intake.Intake(
+            intake_capacity(settings),
+            self.caller_listener.limits,
+            CloseReporter(self.counters, self.log),
+        )
         self.listeners: list[asyncio.Server] = []
+        self.http_servers: list[_connections.CallerServer] = []
         self.tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
@@ -160,32 +190,36 @@
             self.tasks.append(asyncio.ensure_future(running))
         settings = self.settings
         caller_server = _connections.make_http_server(
-            self.caller_listener.handle, self.caller_listener
+            self.caller_listener.handle,
+            self.caller_listener,
+            self.intake,
+            'callers',
         )
-        for address, server in (
-            (settings.caller_address, caller_server),
+        await self.listen(settings.caller_address, caller_server)
+        for name, address, handler in (
             (
+                'lookups',
                 settings.lookup_address,
-                _connections.make_http_server(
-                    self.lookup_listener.handle_lookup
-                ),
+                self.lookup_listener.handle_lookup,
             ),
             (
+                'ready',
                 settings.ready_address,
-                _connections.make_http_server(
-                    self.lookup_listener.handle_ready
-                ),
-            ),
-            (
-                settings.peer_address,
-                _connections.make_http_server(self.peer_listener.handle),
+                self.lookup_listener.handle_ready,
             ),
+            ('peers', settings.peer_address, self.peer_listener.handle),
             (
+                'metrics',
                 f'{settings.host}:{settings.metrics_port}',
-                _connections.make_http_server(self.handle_metrics),
+                self.handle_metrics,
             ),
         ):
-            await self.listen(address, server)
+            await self.listen(
+                address,
+                _connections.make_http_server(
+                    handler, None, self.intake, name
+                ),
+            )
         # Exempts the objects created so far, which live as long as the
         # process, from garbage collection.
         gc.freeze()
@@ -194,8 +228,11 @@
         await self.stop_requested.wait()
         await self.shut_down(caller_server)
 
-    async def listen(self, address: str, server: web.Server) -> None:
+    async def listen(
+        self, address: str, server: _connections.CallerServer
+    ) -> None:
         """Open one listener; ``address`` is ``host:port``."""
+        self.http_servers.append(server)
         host, _, port = address.rpartition(':')
         self.listeners.append(
             await asyncio.get_running_loop().create_server(
@@ -215,6 +252,8 @@
             self.caller_listener.body_memory.used_bytes
         )
         self.counters.answer_bytes.set(self.forwarder.buffer_memory.used_bytes)
+        self.counters.unfinished_bytes.set(self.intake.unfinished.used_bytes)
+        self.counters.unread_bytes.set(self.intake.unread.used_bytes)
         self.counters.log_lines_dropped.set(self.log.handler.dropped)
         return web.Response(
             body=self.counters.render(),
@@ -225,8 +264,10 @@
         """Run periodic work in an endless loop.
 
         Applies held deletions, adjusts the split over regions, dispatches
-        waiting requests, and flushes the log.
+        waiting requests, closes connections that exceed a time, and flushes
+        the log.
         """
+        loop = asyncio.get_running_loop()
         while True:
             now = self.clock.now()
             self.state.replica.apply_held_deletions(now)
@@ -246,6 +287,9 @@
                 )
             for service in list(self.state.wait_queue.queues):
                 self.state.wait_queue.dispatch(service, now)
+            self.intake.sweep(loop.time())
+            for server in self.http_servers:
+                server.sweep(loop.time())
             self.log.flush()
             await asyncio.sleep(TICK_INTERVAL_S)
 
@@ -336,6 +380,21 @@
     return [f'{name}={value:.2f}' for name, value in values.items()]
 
 
+def intake_capacity(
+    settings: _contracts.EntrySettings,
+) -> _intake.Capacity:
+    """Return the limits for clients of this process."""
+    return _intake.Capacity(
+        settings.request_memory_bytes,
+        settings.unread_memory_bytes,
+        *_intake.connection_limits(
+            _intake.descriptor_limit(),
+            settings.connection_share,
+            settings.connection_memory_bytes,
+        ),
+    )
+
+
 def start_fields(
     settings: _contracts.EntrySettings,
 ) -> dict[str, _log.FieldValue]:
--- a/filbertstep/platform/_documents.py
+++ b/filbertstep/platform/_documents.py
@@ -110,10 +110,12 @@
 
 
 class LimitsDoc(typing.TypedDict, total=False):
-    """Size limits of a caller's request."""
+    """Limits of a caller's request and connection."""
 
     header_bytes: int
     body_bytes: int
+    header_timeout_ms: float | None
+    idle_timeout_ms: float | None
 
 
 class ConfigurationDoc(typing.TypedDict):
@@ -347,9 +349,22 @@
 
 
 def parse_limits(doc: LimitsDoc) -> steering.Limits:
-    """Convert the size limits; missing ones get their defaults."""
+    """Convert the limits; missing ones and times of 0 get their defaults."""
     defaults = steering.Limits()
     return steering.Limits(
         max_head_bytes=doc.get('header_bytes', defaults.max_head_bytes),
         max_body_bytes=doc.get('body_bytes', defaults.max_body_bytes),
+        header_timeout_s=parse_timeout(
+            doc.get('header_timeout_ms'), defaults.header_timeout_s
+        ),
+        idle_timeout_s=parse_timeout(
+            doc.get('idle_timeout_ms'), defaults.idle_timeout_s
+        ),
     )
+
+
+def parse_timeout(timeout_ms: float | None, default_s: float) -> float:
+    """Return a timeout in seconds, the default unless it is positive."""
+    if timeout_ms is None or timeout_ms <= 0:
+        return default_s
+    return timeout_ms / 1000
--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -57,6 +57,18 @@
     answer_memory_share: typing.NotRequired[
         typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
     ]
+    request_memory_share: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
+    ]
+    unread_memory_share: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
+    ]
+    connection_memory_share: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
+    ]
+    connection_share: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)]
+    ]
     bounds: BoundsDoc
 
 
@@ -70,6 +82,17 @@
 # Share of the memory for answers that are being read from servers.
 DEFAULT_ANSWER_MEMORY_SHARE: typing.Final = 0.2
 
+# Shares of the memory for unfinished requests, for answers that clients have
+# not read, and for connections of callers.
+DEFAULT_REQUEST_MEMORY_SHARE: typing.Final = 0.1
+DEFAULT_UNREAD_MEMORY_SHARE: typing.Final = 0.15
+DEFAULT_CONNECTION_MEMORY_SHARE: typing.Final = 0.25
+
+# Share of the descriptors for connections of callers.  The listeners for
+# others take two thirds of it together, at most; the rest is for connections
+# to servers, peers and the store.
+DEFAULT_CONNECTION_SHARE: typing.Final = 0.375
+
 BYTES_PER_MB: typing.Final = 1024 * 1024
 
 
@@ -96,6 +119,7 @@
         if not host or not port.isdigit():
             return result.Err(f'Expected `host:port` - at `$.{field}`')
     bounds = doc['bounds']
+    memory_bytes = doc['memory_mb'] * BYTES_PER_MB
     return result.Ok(
         entry.EntrySettings(
             vm=doc['vm'],
@@ -125,6 +149,23 @@
                 * BYTES_PER_MB
                 * doc.get('answer_memory_share', DEFAULT_ANSWER_MEMORY_SHARE)
             ),
+            request_memory_bytes=int(
+                memory_bytes
+                * doc.get('request_memory_share', DEFAULT_REQUEST_MEMORY_SHARE)
+            ),
+            unread_memory_bytes=int(
+                memory_bytes
+                * doc.get('unread_memory_share', DEFAULT_UNREAD_MEMORY_SHARE)
+            ),
+            connection_memory_bytes=int(
+                memory_bytes
+                * doc.get(
+                    'connection_memory_share', DEFAULT_CONNECTION_MEMORY_SHARE
+                )
+            ),
+            connection_share=doc.get(
+                'connection_share', DEFAULT_CONNECTION_SHARE
+            ),
             bounds=steering.Bounds(
                 stop_grace_s=bounds['grace_s'],
                 config_apply_s=bounds['config_apply_ms'] / 1000,
--- a/filbertstep/steering/_model.py
+++ b/filbertstep/steering/_model.py
@@ -9,10 +9,16 @@
 
 
 class Limits(typing.NamedTuple):
-    """Size limits of a caller's request, in bytes."""
+    """Limits of a caller's request and connection.
+
+    ``header_timeout_s`` is the time that a head takes to arrive, and
+    ``idle_timeout_s`` the time after which idle connections are closed.
+    """
 
     max_head_bytes: int = 16 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 75.0
+    idle_timeout_s: float = 75.0
 
 
 class Destination(typing.NamedTuple):
--- a/tests/entry_samples.py
+++ b/tests/entry_samples.py
@@ -26,5 +26,9 @@
         log_lines_per_s=100.0,
         body_memory_bytes=1_000_000,
         answer_memory_bytes=1_000_000,
+        request_memory_bytes=1_000_000,
+        unread_memory_bytes=1_000_000,
+        connection_memory_bytes=1_000_000,
+        connection_share=0.375,
         bounds=samples.BOUNDS,
     )._replace(**changes)
--- a/tests/test_entry_intake.py
+++ b/tests/test_entry_intake.py
@@ -121,11 +121,6 @@
         With ``retries``, it is sent again after each 503, as callers do: the
         requests of the crowd were valid and may still run.
         """
-        print(
-            f'{self.id().rpartition(".")[2]}: '
-            f'{self.peak_bytes / 2**20:.0f} MB, '
-            f'{self.peak_descriptors} descriptors'
-        )
         self.assertIsNone(self.process.returncode)
         self.assertLess(self.peak_bytes, MAX_RESIDENT_BYTES)
         self.assertLess(self.peak_descriptors, MAX_DESCRIPTORS)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -136,6 +136,22 @@
         self.assertEqual(configuration.accounts['free'].rate_per_s, 0.0)
         self.assertEqual(configuration.services['orders'].cold_per_s, 2.7)
         self.assertEqual(configuration.limits.max_body_bytes, 1000)
+        self.assertEqual(configuration.limits.header_timeout_s, 3.0)
+        self.assertEqual(configuration.limits.idle_timeout_s, 15.0)
+
+    def test_times_of_limits_are_optional(self) -> None:
+        """Guards against a configuration that is unreadable without them."""
+        defaults = steering.Limits()
+        for limits in (
+            {},
+            {'header_timeout_ms': None, 'idle_timeout_ms': None},
+            {'header_timeout_ms': 0, 'idle_timeout_ms': -1},
+        ):
+            with self.subTest(limits=limits):
+                configuration = self.decode(
+                    'op/config', {**CONFIGURATION, 'limits': limits}
+                )
+                self.assertEqual(configuration.limits, defaults)
 
     def test_a_server_entry_is_decoded(self) -> None:
         """Guards against confusing the fields of a server entry."""
@@ -298,6 +314,10 @@
         self.assertTrue(settings.first_start)
         self.assertEqual(settings.body_memory_bytes, 60 * 1024 * 1024)
         self.assertEqual(settings.answer_memory_bytes, 60 * 1024 * 1024)
+        self.assertEqual(settings.request_memory_bytes, 30 * 1024 * 1024)
+        self.assertEqual(settings.unread_memory_bytes, 45 * 1024 * 1024)
+        self.assertEqual(settings.connection_memory_bytes, 75 * 1024 * 1024)
+        self.assertEqual(settings.connection_share, 0.375)
 
     def test_errors_name_the_field(self) -> None:
         """Guards against starting with invalid settings."""
