--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -313,7 +313,7 @@
             ):
                 steering.reserve_slot(best, now)
                 return best
-            cost = self.request_cost(admitted, best, now)
+            cost = self.request_cost(admitted, best, wait_until, now)
             if (
                 cost is None
                 and not best.can_send_now
@@ -379,15 +379,19 @@
         self,
         admitted: _messages.Admitted,
         best: steering.Candidate,
+        wait_until: float,
         now: float,
     ) -> steering.RequestCost | None:
         """Return what a request is worth and takes on its best server.
 
-        It is None if the order by cost does not apply, or a figure is wrong.
+        It does not wait longer than ``wait_until``, however long its caller
+        would: a late answer is worth little, and takes the slot in which
+        another request would be on time.  The result is None if the order by
+        cost does not apply, or a figure is wrong.
         """
         if not self.state.wait_queue.plans(admitted.service, now):
             return None
-        return steering.make_cost(
+        cost = steering.make_cost(
             admitted.route,
             admitted.account,
             steering.urgency_rank(
@@ -400,6 +404,12 @@
             best.run_s,
             MIN_ATTEMPT_S,
         )
+        if cost is None:
+            return None
+        latest_start = min(cost.latest_start, wait_until)
+        return cost._replace(
+            latest_start=latest_start, due=min(cost.due, latest_start)
+        )
 
     def before_exit(self, wait_until: float) -> float:
         """Return ``wait_until``, or the last useful time before the exit."""
