Pass on no report that is older than the limit

A VM that was paused, or was the only one of its zone for a while, sent reports older than the 60 s that a message may state. The collector refused the whole message. An old report that arrived behind a newer one also stayed in the log, and its age made other VMs refuse the answer. Old reports are left out now.

--- a/filbertstep/entry/_report_exchange.py
+++ b/filbertstep/entry/_report_exchange.py
@@ -180,7 +180,13 @@
         """
         collector = max(members, key=lambda member: member.vm)
         now = self.clock.now()
-        reports, self.unsent = self.unsent, []
+        # A VM that was paused, or had no other VM to send to, has old reports.
+        reports = [
+            report
+            for report in self.unsent
+            if now - report.at <= steering.MAX_REPORT_AGE_S
+        ]
+        self.unsent = []
         own_vm = self.state.settings.vm
         if collector.vm == own_vm:
             for report in reports:
--- a/filbertstep/steering/_shared_reports.py
+++ b/filbertstep/steering/_shared_reports.py
@@ -75,13 +75,16 @@
         for row in reversed(self.reports):
             if row.number <= number or len(newer) >= self.max_per_message:
                 break
-            if row.source != reader:
+            if (
+                row.source != reader
+                and now - row.report.at <= MAX_REPORT_AGE_S
+            ):
                 newer.append(row.report)
         newer.reverse()
         return newer
 
     def drop_old(self, now: float) -> None:
-        """Drop reports that are too old to be passed on."""
+        """Drop the reports before the first that is not too old."""
         while (
             self.reports and now - self.reports[0].report.at > MAX_REPORT_AGE_S
         ):
--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -68,6 +68,19 @@
         self.assertEqual(len(newer), log.max_per_message)
         self.assertEqual(newer[-1].server_id, 's9999')
 
+    def test_an_old_report_behind_a_newer_one_is_left_out(self) -> None:
+        """Guards against messages with ages that readers refuse.
+
+        A VM that was paused sends reports that are older than the others'.
+        """
+        log = steering.ReportLog()
+        log.add('vm-1', build_report('s0', at=100.0))
+        log.add('vm-1', build_report('s1', at=41.0))
+        self.assertEqual(
+            [report.server_id for report in log.newer_than(0, 'vm-2', 101.0)],
+            ['s0'],
+        )
+
 
 class TestSharedLoads(unittest.TestCase):
     """Pattern: many VMs with few requests each, which meet on a server."""
@@ -279,6 +292,14 @@
             await self.exchange(2)
             self.assertGreater(self.vms[1].known_load(), before)
 
+    async def test_old_reports_do_not_cost_the_new_ones(self) -> None:
+        """Guards against a refused message after a pause, or without peers."""
+        self.vms[0].answer(running=4)
+        self.vms[0].clock.advance(100.0)
+        self.vms[0].answer(running=4)
+        await self.exchange(1)
+        self.assertGreater(self.vms[2].known_load(), 1.0)
+
     def test_servers_without_the_figure_are_not_reported(self) -> None:
         """Guards against messages in deployments that have no such servers."""
         self.vms[0].answer(running=4, machine=None)
