Count the ages in an answer from when its message was sent

A VM that is paused between its message and the answer reads the answer when it wakes up. The reports in it counted as new. The new test failed: after 30 s, the estimate of other VMs' requests was 1.43, now it is 0.

--- a/filbertstep/entry/_report_exchange.py
+++ b/filbertstep/entry/_report_exchange.py
@@ -84,7 +84,7 @@
 def from_rows(
     rows: list[ReportRow], now: float
 ) -> list[steering.ServerReport]:
-    """Return the reports of rows that arrived now."""
+    """Return the reports of rows whose ages count from a time."""
     return [
         steering.ServerReport(
             server_id,
@@ -219,10 +219,11 @@
             return
         self.collector_start = answer['collector_start']
         self.last_number = answer['last']
-        now = self.clock.now()
+        # Ages count from when the message was sent: an answer that is read
+        # after a pause of this VM is older than it states.
         received = from_rows(answer['reports'], now)
         self.counters.events.labels('report_received').inc(len(received))
-        steering.apply_reports(self.state.servers, received, now)
+        steering.apply_reports(self.state.servers, received, self.clock.now())
 
     async def send(self, address: str, doc: ReportsDoc) -> ReportsAnswerDoc:
         """Send reports to the collector and return its answer.
--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -300,6 +300,25 @@
         await self.exchange(1)
         self.assertGreater(self.vms[2].known_load(), 1.0)
 
+    async def test_an_answer_read_after_a_pause_is_old(self) -> None:
+        """Guards against old loads that count as new when a VM wakes up."""
+        exchange = self.vms[1].exchange
+
+        async def answer_late(
+            _address: str, _doc: _report_exchange.ReportsDoc
+        ) -> _report_exchange.ReportsAnswerDoc:
+            self.vms[1].clock.advance(30.0)
+            return {
+                'collector_start': 'c',
+                'last': 1,
+                'reports': [('s0', 'x', 4, 0, 1.0, 0.1)],
+            }
+
+        with unittest.mock.patch.object(exchange, 'send', answer_late):
+            await self.exchange(2)
+        self.assertEqual(self.vms[1].known_load(), 0.0)
+        self.assertFalse(self.vms[1].table.by_id['s0'].cached_objects)
+
     def test_servers_without_the_figure_are_not_reported(self) -> None:
         """Guards against messages in deployments that have no such servers."""
         self.vms[0].answer(running=4, machine=None)
