Keep a machine's figure when an older one arrives later

Reports of several VMs do not arrive in the order of their times, and are up to 3 s old. An older figure replaced the one of a VM's own last answer, whose half-life is 0.25 s, so that a slow machine counted as usual. The new test failed with 1.0 in place of 2.5.

--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -269,17 +269,20 @@
         self.other_vm_requests_at = now
         self.load_changes.add(self)
 
-    def record_machine(self, slowdown: float | None, now: float) -> None:
+    def record_machine(
+        self, slowdown: float | None, reported_at: float
+    ) -> None:
         """Record the slowdown of the machine that the server reported.
 
-        None stands for a server that does not report it.
+        None stands for a server that does not report it.  Reports of other
+        VMs may be older than the last one, and are ignored then.
         """
-        if slowdown is not None:
+        if slowdown is not None and reported_at >= self.machine_slowdown_at:
             self.machine_slowdown = min(
                 _load_reports.MAX_MACHINE_SLOWDOWN,
                 max(_load_reports.MIN_MACHINE_SLOWDOWN, slowdown),
             )
-            self.machine_slowdown_at = now
+            self.machine_slowdown_at = reported_at
 
     def current_machine_slowdown(self, now: float) -> float:
         """Return the expected slowdown of the machine, which decays to 1."""
--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -144,6 +144,18 @@
                     self.assertEqual(server.estimated_requests(10.0), 0.0)
                     self.assertFalse(server.cached_objects)
 
+    def test_an_older_machine_figure_does_not_replace_a_newer_one(
+        self,
+    ) -> None:
+        """Guards against a slow machine that an older report hides.
+
+        Reports of several VMs do not arrive in the order of their times.
+        """
+        server = self.table.by_id['s0']
+        server.record_machine(2.5, 10.0)
+        steering.apply_reports(self.table, [build_report(at=9.0)], 10.0)
+        self.assertEqual(server.current_machine_slowdown(10.0), 2.5)
+
 
 class FakeSettings(typing.NamedTuple):
     """Name and zone of the VM."""
