Ignore reports on the former process of a restarted server

The record of a server is made anew when it starts again, as its cache is empty. A report that another VM had sent before put the load and the object of the former process into the new record, where the object counted as cached for 60 s. The new test failed: the object was found in the new record.

--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -184,6 +184,7 @@
         self.announcements = announcements
         self.index: ObjectIndex | None = index
         self.load_changes = load_changes
+        self.known_since = now
         self.cold_until = now + entry.cold_left_s
         # Time of the last request sent to the server while it was cold.
         self.last_cold_sent_at = float('-inf')
--- a/filbertstep/steering/_shared_reports.py
+++ b/filbertstep/steering/_shared_reports.py
@@ -96,11 +96,17 @@
     reports: collections.abc.Iterable[ServerReport],
     now: float,
 ) -> None:
-    """Record what other VMs report of the servers in the table."""
+    """Record what other VMs report of the servers in the table.
+
+    A report from before this VM knew of a server may be one on the former
+    process, whose requests and cached objects are gone.
+    """
     for report in reports:
         server = table.by_id.get(report.server_id)
         if server is None or not 0.0 <= now - report.at <= MAX_REPORT_AGE_S:
             continue
+        if report.at < server.known_since:
+            continue
         server.record_shared_load(
             report.load.running, report.load.waiting, report.at, now
         )
--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -156,6 +156,18 @@
         steering.apply_reports(self.table, [build_report(at=9.0)], 10.0)
         self.assertEqual(server.current_machine_slowdown(10.0), 2.5)
 
+    def test_reports_on_the_former_process_of_a_server_are_ignored(
+        self,
+    ) -> None:
+        """Guards against relying on the cache of a server that restarted."""
+        self.table.put(samples.server('s0', incarnation=2), 9.5)
+        server = self.table.by_id['s0']
+        steering.apply_reports(self.table, [build_report(at=9.0)], 10.0)
+        self.assertFalse(server.cached_objects)
+        self.assertEqual(server.estimated_requests(10.0), 0.0)
+        steering.apply_reports(self.table, [build_report(at=9.6)], 10.0)
+        self.assertIn('x', server.cached_objects)
+
 
 class FakeSettings(typing.NamedTuple):
     """Name and zone of the VM."""
