Bound the names and the size of messages with reports

The collector keeps 4,096 reports, but a faulty peer could put names of up to 1 MB into each, and the limit of a message was not applied. Names have at most 256 characters now, messages 512 kB. Of the cases added to the test of odd messages, those with a long name of a server or a VM and with a long message failed. Another test shows that the largest valid message is accepted.

--- a/filbertstep/entry/_report_exchange.py
+++ b/filbertstep/entry/_report_exchange.py
@@ -30,8 +30,13 @@
 # choose the keys.
 MAX_OBJECT_KEY_LENGTH: typing.Final = 64
 
-MAX_BODY_BYTES: typing.Final = 256 * 1024
+# Longest name of a server or a VM.  The collector keeps the names.
+MAX_NAME_LENGTH: typing.Final = 256
 
+# Longest message that a collector decodes.  The largest valid one has 350 kB.
+MAX_BODY_BYTES: typing.Final = 512 * 1024
+
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 # Numbers of reports, which rise as long as the collector runs.
 ReportNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -40,7 +45,7 @@
 
 # Server id, object, running and waiting requests, slowdown of the machine, and
 # age in seconds.
-ReportRow = tuple[str, str, Count, Count, Slowdown | None, Age]
+ReportRow = tuple[Name, str, Count, Count, Slowdown | None, Age]
 
 
 class ReportsDoc(typing.TypedDict):
@@ -50,7 +55,7 @@
     predecessor, whose numbers it does not know.
     """
 
-    vm: str
+    vm: Name
     collector_start: str
     after: ReportNumber
     reports: list[ReportRow]
@@ -143,7 +148,7 @@
         if load.machine_slowdown is not None and not self.active:
             self.active = True
             self.log.write('reports_shared', server=server_id)
-        if not self.active:
+        if not self.active or len(server_id) > MAX_NAME_LENGTH:
             return
         if len(object_key) > MAX_OBJECT_KEY_LENGTH:
             object_key = ''
@@ -243,8 +248,10 @@
     def collect(self, body: bytes) -> ReportsAnswerDoc | None:
         """Take the reports of another VM; return those of the others.
 
-        Returns None for a message that cannot be decoded.
+        Returns None for a message that is too long or cannot be decoded.
         """
+        if len(body) > MAX_BODY_BYTES:
+            return None
         try:
             doc = msgspec.json.decode(body, type=ReportsDoc)
         except (ValueError, RecursionError):
--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -362,6 +362,7 @@
         self.assertIsNotNone(collect(json.dumps(doc).encode()))
         for index, value in (
             (0, 7),
+            (0, 's' * 1000),
             (2, -1),
             (2, 10**9),
             (3, 'many'),
@@ -375,10 +376,37 @@
                 odd_row[index] = value
                 odd = {**doc, 'reports': [odd_row]}
                 self.assertIsNone(collect(json.dumps(odd).encode()))
+        for field, value in (
+            ('vm', 'v' * 1000),
+            ('after', -1),
+            ('reports', [row] * 50_000),
+        ):
+            with self.subTest(field=field):
+                odd = {**doc, field: value}
+                self.assertIsNone(collect(json.dumps(odd).encode()))
         for body in (b'', b'[]', b'{}', b'[' * 100_000):
             with self.subTest(body=body[:10]):
                 self.assertIsNone(collect(body))
 
+    def test_the_largest_message_is_accepted(self) -> None:
+        """Guards against refusing the reports of requests with odd keys."""
+        exchange = self.vms[0].exchange
+        load = steering.LoadReport(999_999, 999_999, 20.0)
+        for _ in range(600):
+            exchange.record('s' * 256, '\x01' * 64, load, 1000.0)
+            exchange.record('s' * 257, '', load, 1000.0)
+        rows = _report_exchange.to_rows(exchange.unsent, 1002.0)
+        self.assertEqual(len(rows), 512)
+        body = json.dumps(
+            {
+                'vm': 'v' * 256,
+                'collector_start': '1000.000000',
+                'after': 10**12,
+                'reports': rows,
+            }
+        ).encode()
+        self.assertIsNotNone(self.vms[2].exchange.collect(body))
+
     def test_unsent_reports_are_bounded(self) -> None:
         """Guards against memory that grows while there is no other VM."""
         for _ in range(2000):
