Report the object of a request only if the server ran it

A server that sheds a request reports its load too, and the VM passed on the request's object with it. All VMs of the zone then took the object for cached on a server that was full and did not have it. The new test failed for answers with 'not run' and with a server failure: the object was reported.

--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -283,8 +283,13 @@
             server.record_load(load.running, load.waiting, now)
             server.record_machine(load.machine_slowdown, now)
             if self.report_exchange is not None:
+                # A server that did not run the request does not have its
+                # object cached.
+                handled_object = (
+                    query.affinity_key if is_success(outcome) else ''
+                )
                 self.report_exchange.record(
-                    server.entry.server_id, query.affinity_key, load, now
+                    server.entry.server_id, handled_object, load, now
                 )
             self.state.regions.record_load(server, load.running, load.waiting)
         if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -4,11 +4,12 @@
 import json
 import typing
 import unittest
-import unittest.mock
+from unittest import mock
 
 import aiohttp
 
 from filbertstep import clock
+from filbertstep import delivery
 from filbertstep import metrics
 from filbertstep import steering
 from filbertstep.entry import _connections
@@ -16,6 +17,7 @@
 from filbertstep.entry import _report_exchange
 from tests import steering_samples as samples
 from tests import test_entry_knowledge
+from tests import test_entry_requests
 
 ROUTE: typing.Final = samples.route()
 
@@ -338,7 +340,7 @@
                 'reports': [('s0', 'x', 4, 0, 1.0, 0.1)],
             }
 
-        with unittest.mock.patch.object(exchange, 'send', answer_late):
+        with mock.patch.object(exchange, 'send', answer_late):
             await self.exchange(2)
         self.assertEqual(self.vms[1].known_load(), 0.0)
         self.assertFalse(self.vms[1].table.by_id['s0'].cached_objects)
@@ -412,3 +414,32 @@
         for _ in range(2000):
             self.vms[0].answer(running=1)
         self.assertLessEqual(len(self.vms[0].exchange.unsent), 512)
+
+
+class TestReportedObjects(test_entry_requests.RequestTestCase):
+    """The objects that a VM reports as handled by a server."""
+
+    async def reported_objects(
+        self, *outcomes: delivery.ForwardOutcome, affinity_key: str = 'x'
+    ) -> list[str]:
+        """Return the objects that are reported for one request."""
+        self.build(*outcomes)
+        recorder = mock.Mock()
+        self.system.attempt_sender.report_exchange = recorder
+        await self.serve(affinity_key=affinity_key)
+        return [call.args[1] for call in recorder.record.call_args_list]
+
+    async def test_only_a_server_that_ran_the_request_has_the_object(
+        self,
+    ) -> None:
+        """Guards against sending all VMs to a server that sheds requests."""
+        load = ('X-Server-Load', '3,9,3,100')
+        for outcome, expected in (
+            (test_entry_requests.answered(200, load), ['x']),
+            (test_entry_requests.answered(404, load), ['x']),
+            (test_entry_requests.shed(503, load), ['']),
+            (test_entry_requests.answered(500, load), ['']),
+        ):
+            with self.subTest(status=outcome.status):
+                reported = await self.reported_objects(outcome)
+                self.assertEqual(reported[:1], expected)
