Keep the rate of a cold server in each second

Where few VMs share a high rate, each may send again within a second, and all may do so at the same moments. The interval followed from the mean rate: 25 VMs sent 50 requests in a second where 45.5 are allowed, 65 VMs 130 where 95 are. It is now also long enough for the whole number of requests that each VM has in a second.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -748,7 +748,11 @@
         )
         if not self.is_cold_sender(server, sharing_vms, max_senders):
             return False
-        interval_s = min(sharing_vms, max_senders) / rate
+        senders = min(sharing_vms, max_senders)
+        # Whole requests of each VM in a second: all may send at the same
+        # moments, and then the mean rate alone does not keep the bound.
+        per_second = max_senders // senders
+        interval_s = max(senders / rate, 1.0 / per_second)
         return now - server.last_cold_sent_at >= interval_s
 
     def is_cold_sender(
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -426,6 +426,7 @@
         zone: str,
         own_vm: str = '',
         vms_by_zone: dict[str, frozenset[str]] | None = None,
+        cold_per_s: float = samples.SERVICE.cold_per_s,
     ) -> int:
         """Return how many requests one VM sends to a cold server in 1 s.
 
@@ -434,6 +435,9 @@
         placement = self.build_placement(
             samples.server('s0', zone, cold_left_s=200.0)
         )
+        placement.services = {
+            'orders': samples.SERVICE._replace(cold_per_s=cold_per_s)
+        }
         placement.vms_in_zone = vms
         if vms_by_zone is not None:
             placement.set_vms(own_vm, vms_by_zone)
@@ -493,6 +497,24 @@
                     self.count_sent({}, zone, 'vm-a', vms_by_zone), 0
                 )
 
+    def test_a_high_cold_rate_is_kept_in_each_second(self) -> None:
+        """Guards against a second request of each VM within the same second.
+
+        All VMs send their first at the same moment.
+        """
+        for cold_per_s in (1.0, 5.0, 10.0, 27.0, 60.0):
+            for count in (1, 2, 3, 5, 9, 17, 25, 44, 65):
+                with self.subTest(cold_per_s=cold_per_s, count=count):
+                    names = frozenset(f'vm-{item}' for item in range(count))
+                    sent = sum(
+                        self.count_sent(
+                            {}, 'a-1', vm, {'a-1': names}, cold_per_s
+                        )
+                        for vm in names
+                    )
+                    self.assertLessEqual(sent, cold_per_s * 1.5 + 5.0)
+                    self.assertGreater(sent, 0)
+
     def test_vms_of_other_zones_send_no_requests(self) -> None:
         """Guards against sharing the rate with VMs that do not know of it."""
         self.assertEqual(self.count_sent({'a-1': 1, 'a-2': 1}, 'a-2'), 0)
