Send nothing to cold servers while no VM is registered

A VM that look-ups do not name sends nothing to cold servers, but one whose list of VMs was empty took itself for the only one. When all leases have ended, each VM of a zone would use the whole rate. The new test failed with 4 requests in a second by one VM where there should be none.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -268,7 +268,8 @@
         # Number of entry VMs by availability zone.  They share the rate limit
         # of a cold server.
         self.vms_in_zone: collections.abc.Mapping[str, int] = {}
-        # Names of the same VMs; empty if only their numbers are known.
+        # Names of this VM and of the same VMs; empty if only their numbers are
+        # known.
         self.own_vm = ''
         self.vms_by_zone: collections.abc.Mapping[str, frozenset[str]] = {}
         # Whether this VM sends to a cold server, by its id and by how many
@@ -766,7 +767,8 @@
         A VM that look-ups do not name, because it stops or has just started,
         does not count for the others, so it sends nothing.
         """
-        if not self.vms_by_zone:
+        if not self.own_vm:
+            # Only the numbers of VMs are known.
             return sharing_vms <= max_senders
         key = (server.entry.server_id, max_senders)
         if key not in self.cold_senders:
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -515,6 +515,15 @@
                     self.assertLessEqual(sent, cold_per_s * 1.5 + 5.0)
                     self.assertGreater(sent, 0)
 
+    def test_a_vm_that_sees_no_vms_sends_no_requests(self) -> None:
+        """Guards against VMs that each take themselves for the only one.
+
+        So does each VM of a zone whose leases have all ended.
+        """
+        for zone in ('a-1', 'c-1'):
+            with self.subTest(zone=zone):
+                self.assertEqual(self.count_sent({}, zone, 'vm-a', {}), 0)
+
     def test_vms_of_other_zones_send_no_requests(self) -> None:
         """Guards against sharing the rate with VMs that do not know of it."""
         self.assertEqual(self.count_sent({'a-1': 1, 'a-2': 1}, 'a-2'), 0)
