Decide anew who sends to a cold server in another zone

The kept decision had no zone, so a server that changed its zone kept its former senders beside those of the new zone. The new test failed for six of ten servers: a VM that is not among the senders of the new zone sent requests.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -272,9 +272,9 @@
         # known.
         self.own_vm = ''
         self.vms_by_zone: collections.abc.Mapping[str, frozenset[str]] = {}
-        # Whether this VM sends to a cold server, by its id and by how many
-        # VMs may.
-        self.cold_senders: dict[tuple[str, int], bool] = {}
+        # Whether this VM sends to a cold server, by its id, its zone and by
+        # how many VMs may.
+        self.cold_senders: dict[tuple[str, str, int], bool] = {}
         self.copies = _copies.CopyPolicy()
         # Services whose requests take very different times, and moving
         # averages of the run times of their requests of all routes.
@@ -770,11 +770,12 @@
         if not self.own_vm:
             # Only the numbers of VMs are known.
             return sharing_vms <= max_senders
-        key = (server.entry.server_id, max_senders)
+        zone = server.entry.availability_zone
+        key = (server.entry.server_id, zone, max_senders)
         if key not in self.cold_senders:
-            vms = self.vms_by_zone.get(
-                server.entry.availability_zone
-            ) or frozenset().union(*self.vms_by_zone.values())
+            vms = self.vms_by_zone.get(zone) or frozenset().union(
+                *self.vms_by_zone.values()
+            )
             first_vms = sorted(
                 vms,
                 key=lambda vm: _routes.rendezvous_rank(
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -524,6 +524,29 @@
             with self.subTest(zone=zone):
                 self.assertEqual(self.count_sent({}, zone, 'vm-a', {}), 0)
 
+    def test_a_server_in_another_zone_has_other_senders(self) -> None:
+        """Guards against a decision for the zone that a server has left."""
+        vms_by_zone = {
+            'a-1': frozenset({'vm-a'}),
+            'b-1': frozenset(f'vm-{number}' for number in range(30)),
+        }
+        for number in range(10):
+            server_id = f's{number}'
+            entry = samples.server(server_id, cold_left_s=200.0)
+            moved = self.build_placement(entry)
+            fresh = self.build_placement(
+                entry._replace(availability_zone='c-1')
+            )
+            for placement in (moved, fresh):
+                placement.set_vms('vm-a', vms_by_zone)
+                placement.best_candidate(build_query(), 100.0)
+            moved.table.put(entry._replace(availability_zone='c-1'), 100.0)
+            with self.subTest(server=server_id):
+                self.assertEqual(
+                    moved.best_candidate(build_query(), 110.0) is None,
+                    fresh.best_candidate(build_query(), 110.0) is None,
+                )
+
     def test_vms_of_other_zones_send_no_requests(self) -> None:
         """Guards against sharing the rate with VMs that do not know of it."""
         self.assertEqual(self.count_sent({'a-1': 1, 'a-2': 1}, 'a-2'), 0)
