Bound the number of VMs that a huge cold rate allows

The number of senders was computed from the rate before any bound, so a rate or slack that is infinite as a float raised OverflowError in the path of each request that came to a cold server. The new test failed with that error.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -82,6 +82,9 @@
 # that do not know yet that the server is cold.
 COLD_SLACK_SHARE: typing.Final = 0.6
 
+# More VMs than any deployment has.  Configured rates may be infinite.
+MAX_SENDERS: typing.Final = 1_000_000
+
 # Cold servers for which the decision whether this VM sends to them is kept.
 MAX_COLD_SENDERS: typing.Final = 4096
 
@@ -744,9 +747,8 @@
         else:
             sharing_vms = max(1, sum(self.vms_in_zone.values()))
         rate = service.cold_per_s * self.bounds.cold_rate_factor
-        max_senders = max(
-            1, int(rate + COLD_SLACK_SHARE * self.bounds.cold_slack)
-        )
+        at_once = rate + COLD_SLACK_SHARE * self.bounds.cold_slack
+        max_senders = max(1, int(min(MAX_SENDERS, at_once)))
         if not self.is_cold_sender(server, sharing_vms, max_senders):
             return False
         senders = min(sharing_vms, max_senders)
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -547,6 +547,13 @@
                     fresh.best_candidate(build_query(), 110.0) is None,
                 )
 
+    def test_a_huge_cold_rate_is_no_error(self) -> None:
+        """Guards against an exception for each request to a cold server."""
+        names = {'a-1': frozenset({'vm-a'})}
+        self.assertGreater(
+            self.count_sent({}, 'a-1', 'vm-a', names, 1.7e308), 90
+        )
+
     def test_vms_of_other_zones_send_no_requests(self) -> None:
         """Guards against sharing the rate with VMs that do not know of it."""
         self.assertEqual(self.count_sent({'a-1': 1, 'a-2': 1}, 'a-2'), 0)
