--- a/filbertstep/entry/_report_exchange.py
+++ b/filbertstep/entry/_report_exchange.py
@@ -187,9 +187,7 @@
         now = self.clock.now()
         # A VM that was paused, or had no other VM to send to, has old reports.
         reports = [
-            report
-            for report in self.unsent
-            if now - report.at <= steering.MAX_REPORT_AGE_S
+            report for report in self.unsent if steering.is_recent(report, now)
         ]
         self.unsent = []
         own_vm = self.state.settings.vm
--- a/filbertstep/steering/__init__.py
+++ b/filbertstep/steering/__init__.py
@@ -38,9 +38,7 @@
 from filbertstep.steering._servers import ServerRecord as ServerRecord
 from filbertstep.steering._servers import ServerTable as ServerTable
 from filbertstep.steering._shared_reports import apply_reports as apply_reports
-from filbertstep.steering._shared_reports import (
-    MAX_REPORT_AGE_S as MAX_REPORT_AGE_S,
-)
+from filbertstep.steering._shared_reports import is_recent as is_recent
 from filbertstep.steering._shared_reports import ReportLog as ReportLog
 from filbertstep.steering._shared_reports import ServerReport as ServerReport
 from filbertstep.steering._waiting import reserve_slot as reserve_slot
--- a/filbertstep/steering/_shared_reports.py
+++ b/filbertstep/steering/_shared_reports.py
@@ -35,6 +35,11 @@
     at: float
 
 
+def is_recent(report: ServerReport, now: float) -> bool:
+    """Return whether a report may be passed on."""
+    return now - report.at <= MAX_REPORT_AGE_S
+
+
 class NumberedReport(typing.NamedTuple):
     """A report with its number in the log, and the VM that it came from."""
 
@@ -75,19 +80,14 @@
         for row in reversed(self.reports):
             if row.number <= number or len(newer) >= self.max_per_message:
                 break
-            if (
-                row.source != reader
-                and now - row.report.at <= MAX_REPORT_AGE_S
-            ):
+            if row.source != reader and is_recent(row.report, now):
                 newer.append(row.report)
         newer.reverse()
         return newer
 
     def drop_old(self, now: float) -> None:
         """Drop the reports before the first that is not too old."""
-        while (
-            self.reports and now - self.reports[0].report.at > MAX_REPORT_AGE_S
-        ):
+        while self.reports and not is_recent(self.reports[0].report, now):
             self.reports.popleft()
 
 
