Keep the rate of a cold server while the entry VMs change

When the senders to a cold server change, new ones sent their first requests beside what the former ones had sent within the same second, or still sent as they did not know of the change. For 1.5 s after a change, a VM now sends only if it was a sender before it too, at the longer of the two intervals.

--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -207,6 +207,7 @@
         self.placement.set_vms(
             self.settings.vm,
             {zone: frozenset(vms) for zone, vms in vms_by_zone.items()},
+            self.clock.now(),
         )
         self.placement.copies.vms_in_zone = max(
             1,
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -7,6 +7,7 @@
 new object to the same server of a zone.
 """
 
+import collections
 import collections.abc
 import enum
 import math
@@ -85,6 +86,16 @@
 # More VMs than any deployment has.  Configured rates may be infinite.
 MAX_SENDERS: typing.Final = 1_000_000
 
+# Time after a change of the entry VMs in which only those send to a cold
+# server that did so before.  A second, which is the period of the rate limit,
+# and the time in which all VMs learn of the change.
+COLD_HANDOVER_S: typing.Final = 1.5
+
+# Changes of the entry VMs within this time count as one, and the bound of
+# those that are kept.  Together they cover ``COLD_HANDOVER_S``.
+MIN_FORMER_VMS_INTERVAL_S: typing.Final = 0.2
+MAX_FORMER_VMS: typing.Final = 8
+
 # Cold servers for which the decision whether this VM sends to them is kept.
 MAX_COLD_SENDERS: typing.Final = 4096
 
@@ -233,6 +244,13 @@
     other_region_s: float
 
 
+class FormerVms(typing.NamedTuple):
+    """Entry VMs by availability zone, and when this VM learned of others."""
+
+    vms_by_zone: collections.abc.Mapping[str, frozenset[str]]
+    ended_at: float
+
+
 class ServiceGroups:
     """Groups of the usable servers of a service, for one generation."""
 
@@ -275,9 +293,13 @@
         # known.
         self.own_vm = ''
         self.vms_by_zone: collections.abc.Mapping[str, frozenset[str]] = {}
-        # Whether this VM sends to a cold server, by its id, its zone and by
-        # how many VMs may.
-        self.cold_senders: dict[tuple[str, str, int], bool] = {}
+        # The VMs that were named until recently, oldest first.
+        self.former_vms: collections.deque[FormerVms] = collections.deque(
+            maxlen=MAX_FORMER_VMS
+        )
+        # How many VMs send to a cold server, 0 unless this VM does, by its id,
+        # its zone and by how many VMs may.
+        self.cold_senders: dict[tuple[str, str, int], int] = {}
         self.copies = _copies.CopyPolicy()
         # Services whose requests take very different times, and moving
         # averages of the run times of their requests of all routes.
@@ -715,8 +737,16 @@
         self,
         own_vm: str,
         vms_by_zone: collections.abc.Mapping[str, frozenset[str]],
+        now: float = float('-inf'),
     ) -> None:
         """Set the entry VMs that look-ups name, by availability zone."""
+        if own_vm == self.own_vm and vms_by_zone == self.vms_by_zone:
+            return
+        if self.vms_by_zone and (
+            not self.former_vms
+            or now - self.former_vms[-1].ended_at >= MIN_FORMER_VMS_INTERVAL_S
+        ):
+            self.former_vms.append(FormerVms(self.vms_by_zone, now))
         self.vms_in_zone = {
             zone: len(vms) for zone, vms in vms_by_zone.items()
         }
@@ -749,45 +779,76 @@
         rate = service.cold_per_s * self.bounds.cold_rate_factor
         at_once = rate + COLD_SLACK_SHARE * self.bounds.cold_slack
         max_senders = max(1, int(min(MAX_SENDERS, at_once)))
-        if not self.is_cold_sender(server, sharing_vms, max_senders):
+        if self.own_vm:
+            senders = self.cold_sender_count(server, max_senders, now)
+        else:
+            # Only the numbers of VMs are known.
+            senders = sharing_vms if sharing_vms <= max_senders else 0
+        if not senders:
             return False
-        senders = min(sharing_vms, max_senders)
         # Whole requests of each VM in a second: all may send at the same
         # moments, and then the mean rate alone does not keep the bound.
         per_second = max_senders // senders
         interval_s = max(senders / rate, 1.0 / per_second)
         return now - server.last_cold_sent_at >= interval_s
 
-    def is_cold_sender(
+    def cold_sender_count(
+        self, server: _servers.ServerRecord, max_senders: int, now: float
+    ) -> int:
+        """Return how many VMs send to a cold server if this VM is among them.
+
+        Otherwise, returns 0.  For some time after a change of the VMs, those
+        before the change count too: others may not know of the change yet, or
+        have used the rate within the last second.
+        """
+        former_vms = self.former_vms
+        while former_vms and now - former_vms[0].ended_at > COLD_HANDOVER_S:
+            former_vms.popleft()
+            self.cold_senders.clear()
+        key = (
+            server.entry.server_id,
+            server.entry.availability_zone,
+            max_senders,
+        )
+        count = self.cold_senders.get(key)
+        if count is None:
+            count = self.sender_count(server, self.vms_by_zone, max_senders)
+            for former in former_vms:
+                if not count:
+                    break
+                former_count = self.sender_count(
+                    server, former.vms_by_zone, max_senders
+                )
+                count = max(count, former_count) if former_count else 0
+            if len(self.cold_senders) >= MAX_COLD_SENDERS:
+                self.cold_senders.clear()
+            self.cold_senders[key] = count
+        return count
+
+    def sender_count(
         self,
         server: _servers.ServerRecord,
-        sharing_vms: int,
+        vms_by_zone: collections.abc.Mapping[str, frozenset[str]],
         max_senders: int,
-    ) -> bool:
-        """Return whether this VM is among those that send to a cold server.
+    ) -> int:
+        """Return how many of some VMs send to a cold server.
 
-        A VM that look-ups do not name, because it stops or has just started,
-        does not count for the others, so it sends nothing.
+        Returns 0 if this VM is not among them.  A VM that look-ups do not
+        name, because it stops or has just started, does not count for the
+        others, so it sends nothing.
         """
-        if not self.own_vm:
-            # Only the numbers of VMs are known.
-            return sharing_vms <= max_senders
-        zone = server.entry.availability_zone
-        key = (server.entry.server_id, zone, max_senders)
-        if key not in self.cold_senders:
-            vms = self.vms_by_zone.get(zone) or frozenset().union(
-                *self.vms_by_zone.values()
-            )
-            first_vms = sorted(
-                vms,
-                key=lambda vm: _routes.rendezvous_rank(
-                    vm, server.entry.server_id
-                ),
-            )[:max_senders]
-            if len(self.cold_senders) >= MAX_COLD_SENDERS:
-                self.cold_senders.clear()
-            self.cold_senders[key] = self.own_vm in first_vms
-        return self.cold_senders[key]
+        vms = vms_by_zone.get(
+            server.entry.availability_zone
+        ) or frozenset().union(*vms_by_zone.values())
+        if self.own_vm not in vms:
+            return 0
+        if len(vms) <= max_senders:
+            return len(vms)
+        first_vms = sorted(
+            vms,
+            key=lambda vm: _routes.rendezvous_rank(vm, server.entry.server_id),
+        )[:max_senders]
+        return max_senders if self.own_vm in first_vms else 0
 
 
 def overrun_probability(run_s: float, limit_s: float) -> float:
--- a/tests/test_steering_placement.py
+++ b/tests/test_steering_placement.py
@@ -547,6 +547,85 @@
                     fresh.best_candidate(build_query(), 110.0) is None,
                 )
 
+    def most_sent_in_a_second(
+        self,
+        before: dict[str, frozenset[str]],
+        after: dict[str, frozenset[str]],
+        spread_s: float,
+    ) -> int:
+        """Return how many requests all VMs send to a cold server of zone a-1.
+
+        Each of them learns of the change at another time after 100.3, at most
+        ``spread_s`` later, and always has a request.
+        """
+        zones = {
+            vm: zone
+            for vms_by_zone in (before, after)
+            for zone, vms in vms_by_zone.items()
+            for vm in vms
+        }
+        sent_at = []
+        for number, (vm, zone) in enumerate(sorted(zones.items())):
+            table = samples.server_table(
+                samples.server('s0', cold_left_s=200.0)
+            )
+            placement = steering.Placement(
+                table, zone[0], zone, samples.BOUNDS
+            )
+            placement.services = {'orders': samples.SERVICE}
+            placement.set_vms(vm, before, 0.0)
+            changes_at = 100.3 + spread_s * number / len(zones)
+            for step in range(350):
+                now = 98.5 + step * 0.015
+                if now >= changes_at:
+                    placement.set_vms(vm, after, changes_at)
+                best = placement.best_candidate(build_query(), now)
+                if best is not None:
+                    steering.reserve_slot(best, now)
+                    best.server.in_progress -= 1
+                    sent_at.append(now)
+        return max(
+            sum(start <= other < start + 1.0 for other in sent_at)
+            for start in sent_at
+        )
+
+    def test_the_cold_rate_is_kept_while_the_vms_change(self) -> None:
+        """Guards against first requests of new senders beside the former's.
+
+        The only VM of a zone stops, or many start where there was one.
+        """
+        vms_a = frozenset(f'vm-a{number}' for number in range(25))
+        vms_b = frozenset(f'vm-b{number}' for number in range(25))
+        one = frozenset({'vm-a0'})
+        for name, before, after in (
+            ('stop', {'a-1': one, 'b-1': vms_b}, {'b-1': vms_b}),
+            ('start', {'b-1': vms_b}, {'a-1': one, 'b-1': vms_b}),
+            ('more', {'a-1': one}, {'a-1': vms_a}),
+            ('fewer', {'a-1': vms_a}, {'a-1': one}),
+        ):
+            for spread_s in (0.0, 0.4):
+                with self.subTest(change=name, spread_s=spread_s):
+                    most = self.most_sent_in_a_second(before, after, spread_s)
+                    self.assertLessEqual(most, 2.7 * 1.5 + 5.0)
+                    self.assertGreater(most, 0)
+
+    def test_a_new_sender_waits_only_for_the_change(self) -> None:
+        """Guards against a cold server without requests after a change."""
+        placement = self.build_placement(
+            samples.server('s0', cold_left_s=200.0)
+        )
+        for number in range(40):
+            others = frozenset(f'vm-{item}' for item in range(number))
+            placement.set_vms(
+                'vm-a', {'b-1': others | {'vm-b'}}, 50.0 + 0.1 * number
+            )
+        placement.set_vms('vm-a', {'a-1': frozenset({'vm-a'})}, 100.0)
+        self.assertLessEqual(len(placement.former_vms), 8)
+        for now, expected in ((100.0, False), (101.0, False), (102.0, True)):
+            with self.subTest(now=now):
+                best = placement.best_candidate(build_query(), now)
+                self.assertEqual(best is not None, expected)
+
     def test_a_huge_cold_rate_is_no_error(self) -> None:
         """Guards against an exception for each request to a cold server."""
         names = {'a-1': frozenset({'vm-a'})}
