--- a/filbertstep/entry/_report_exchange.py
+++ b/filbertstep/entry/_report_exchange.py
@@ -30,15 +30,22 @@
 # choose the keys.
 MAX_OBJECT_KEY_LENGTH: typing.Final = 64
 
-MAX_BODY_BYTES: typing.Final = 256 * 1024
+# Longest name of a server or a VM.  The collector keeps the names.
+MAX_NAME_LENGTH: typing.Final = 256
 
+# Longest message that a collector decodes.  The largest valid one has 350 kB.
+MAX_BODY_BYTES: typing.Final = 512 * 1024
+
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+# Numbers of reports, which rise as long as the collector runs.
+ReportNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Slowdown = typing.Annotated[float, msgspec.Meta(gt=0, le=1000)]
 Age = typing.Annotated[float, msgspec.Meta(ge=0, le=60)]
 
 # Server id, object, running and waiting requests, slowdown of the machine, and
 # age in seconds.
-ReportRow = tuple[str, str, Count, Count, Slowdown | None, Age]
+ReportRow = tuple[Name, str, Count, Count, Slowdown | None, Age]
 
 
 class ReportsDoc(typing.TypedDict):
@@ -48,9 +55,9 @@
     predecessor, whose numbers it does not know.
     """
 
-    vm: str
+    vm: Name
     collector_start: str
-    after: Count
+    after: ReportNumber
     reports: list[ReportRow]
 
 
@@ -58,7 +65,7 @@
     """Reports of other VMs; ``last`` is the number of the newest one."""
 
     collector_start: str
-    last: int
+    last: ReportNumber
     reports: list[ReportRow]
 
 
@@ -82,7 +89,7 @@
 def from_rows(
     rows: list[ReportRow], now: float
 ) -> list[steering.ServerReport]:
-    """Return the reports of rows that arrived now."""
+    """Return the reports of rows whose ages count from a time."""
     return [
         steering.ServerReport(
             server_id,
@@ -141,7 +148,7 @@
         if load.machine_slowdown is not None and not self.active:
             self.active = True
             self.log.write('reports_shared', server=server_id)
-        if not self.active:
+        if not self.active or len(server_id) > MAX_NAME_LENGTH:
             return
         if len(object_key) > MAX_OBJECT_KEY_LENGTH:
             object_key = ''
@@ -178,7 +185,11 @@
         """
         collector = max(members, key=lambda member: member.vm)
         now = self.clock.now()
-        reports, self.unsent = self.unsent, []
+        # A VM that was paused, or had no other VM to send to, has old reports.
+        reports = [
+            report for report in self.unsent if steering.is_recent(report, now)
+        ]
+        self.unsent = []
         own_vm = self.state.settings.vm
         if collector.vm == own_vm:
             for report in reports:
@@ -211,10 +222,11 @@
             return
         self.collector_start = answer['collector_start']
         self.last_number = answer['last']
-        now = self.clock.now()
+        # Ages count from when the message was sent: an answer that is read
+        # after a pause of this VM is older than it states.
         received = from_rows(answer['reports'], now)
         self.counters.events.labels('report_received').inc(len(received))
-        steering.apply_reports(self.state.servers, received, now)
+        steering.apply_reports(self.state.servers, received, self.clock.now())
 
     async def send(self, address: str, doc: ReportsDoc) -> ReportsAnswerDoc:
         """Send reports to the collector and return its answer.
@@ -234,8 +246,10 @@
     def collect(self, body: bytes) -> ReportsAnswerDoc | None:
         """Take the reports of another VM; return those of the others.
 
-        Returns None for a message that cannot be decoded.
+        Returns None for a message that is too long or cannot be decoded.
         """
+        if len(body) > MAX_BODY_BYTES:
+            return None
         try:
             doc = msgspec.json.decode(body, type=ReportsDoc)
         except (ValueError, RecursionError):
--- a/filbertstep/steering/_shared_reports.py
+++ b/filbertstep/steering/_shared_reports.py
@@ -35,6 +35,11 @@
     at: float
 
 
+def is_recent(report: ServerReport, now: float) -> bool:
+    """Return whether a report may be passed on."""
+    return now - report.at <= MAX_REPORT_AGE_S
+
+
 class NumberedReport(typing.NamedTuple):
     """A report with its number in the log, and the VM that it came from."""
 
@@ -75,16 +80,14 @@
         for row in reversed(self.reports):
             if row.number <= number or len(newer) >= self.max_per_message:
                 break
-            if row.source != reader:
+            if row.source != reader and is_recent(row.report, now):
                 newer.append(row.report)
         newer.reverse()
         return newer
 
     def drop_old(self, now: float) -> None:
-        """Drop reports that are too old to be passed on."""
-        while (
-            self.reports and now - self.reports[0].report.at > MAX_REPORT_AGE_S
-        ):
+        """Drop the reports before the first that is not too old."""
+        while self.reports and not is_recent(self.reports[0].report, now):
             self.reports.popleft()
 
 
@@ -93,11 +96,17 @@
     reports: collections.abc.Iterable[ServerReport],
     now: float,
 ) -> None:
-    """Record what other VMs report of the servers in the table."""
+    """Record what other VMs report of the servers in the table.
+
+    A report from before this VM knew of a server may be one on the former
+    process, whose requests and cached objects are gone.
+    """
     for report in reports:
         server = table.by_id.get(report.server_id)
         if server is None or not 0.0 <= now - report.at <= MAX_REPORT_AGE_S:
             continue
+        if report.at < server.known_since:
+            continue
         server.record_shared_load(
             report.load.running, report.load.waiting, report.at, now
         )
--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -4,10 +4,12 @@
 import json
 import typing
 import unittest
+from unittest import mock
 
 import aiohttp
 
 from filbertstep import clock
+from filbertstep import delivery
 from filbertstep import metrics
 from filbertstep import steering
 from filbertstep.entry import _connections
@@ -15,6 +17,7 @@
 from filbertstep.entry import _report_exchange
 from tests import steering_samples as samples
 from tests import test_entry_knowledge
+from tests import test_entry_requests
 
 ROUTE: typing.Final = samples.route()
 
@@ -67,6 +70,19 @@
         self.assertEqual(len(newer), log.max_per_message)
         self.assertEqual(newer[-1].server_id, 's9999')
 
+    def test_an_old_report_behind_a_newer_one_is_left_out(self) -> None:
+        """Guards against messages with ages that readers refuse.
+
+        A VM that was paused sends reports that are older than the others'.
+        """
+        log = steering.ReportLog()
+        log.add('vm-1', build_report('s0', at=100.0))
+        log.add('vm-1', build_report('s1', at=41.0))
+        self.assertEqual(
+            [report.server_id for report in log.newer_than(0, 'vm-2', 101.0)],
+            ['s0'],
+        )
+
 
 class TestSharedLoads(unittest.TestCase):
     """Pattern: many VMs with few requests each, which meet on a server."""
@@ -130,6 +146,30 @@
                     self.assertEqual(server.estimated_requests(10.0), 0.0)
                     self.assertFalse(server.cached_objects)
 
+    def test_an_older_machine_figure_does_not_replace_a_newer_one(
+        self,
+    ) -> None:
+        """Guards against a slow machine that an older report hides.
+
+        Reports of several VMs do not arrive in the order of their times.
+        """
+        server = self.table.by_id['s0']
+        server.record_machine(2.5, 10.0)
+        steering.apply_reports(self.table, [build_report(at=9.0)], 10.0)
+        self.assertEqual(server.current_machine_slowdown(10.0), 2.5)
+
+    def test_reports_on_the_former_process_of_a_server_are_ignored(
+        self,
+    ) -> None:
+        """Guards against relying on the cache of a server that restarted."""
+        self.table.put(samples.server('s0', incarnation=2), 9.5)
+        server = self.table.by_id['s0']
+        steering.apply_reports(self.table, [build_report(at=9.0)], 10.0)
+        self.assertFalse(server.cached_objects)
+        self.assertEqual(server.estimated_requests(10.0), 0.0)
+        steering.apply_reports(self.table, [build_report(at=9.6)], 10.0)
+        self.assertIn('x', server.cached_objects)
+
 
 class FakeSettings(typing.NamedTuple):
     """Name and zone of the VM."""
@@ -265,6 +305,46 @@
         await self.exchange(1)
         self.assertEqual(self.vms[0].exchange.unsent, [])
 
+    async def test_reports_continue_after_very_many(self) -> None:
+        """Guards against a collector that refuses its own numbers.
+
+        A zone with 130 requests a second has a million reports in 2.2 hours.
+        """
+        self.vms[2].exchange.collected.last_number = 1_000_000
+        for _ in range(2):
+            before = self.vms[1].known_load()
+            self.vms[0].answer(running=4)
+            await self.exchange(1)
+            await self.exchange(2)
+            self.assertGreater(self.vms[1].known_load(), before)
+
+    async def test_old_reports_do_not_cost_the_new_ones(self) -> None:
+        """Guards against a refused message after a pause, or without peers."""
+        self.vms[0].answer(running=4)
+        self.vms[0].clock.advance(100.0)
+        self.vms[0].answer(running=4)
+        await self.exchange(1)
+        self.assertGreater(self.vms[2].known_load(), 1.0)
+
+    async def test_an_answer_read_after_a_pause_is_old(self) -> None:
+        """Guards against old loads that count as new when a VM wakes up."""
+        exchange = self.vms[1].exchange
+
+        async def answer_late(
+            _address: str, _doc: _report_exchange.ReportsDoc
+        ) -> _report_exchange.ReportsAnswerDoc:
+            self.vms[1].clock.advance(30.0)
+            return {
+                'collector_start': 'c',
+                'last': 1,
+                'reports': [('s0', 'x', 4, 0, 1.0, 0.1)],
+            }
+
+        with mock.patch.object(exchange, 'send', answer_late):
+            await self.exchange(2)
+        self.assertEqual(self.vms[1].known_load(), 0.0)
+        self.assertFalse(self.vms[1].table.by_id['s0'].cached_objects)
+
     def test_servers_without_the_figure_are_not_reported(self) -> None:
         """Guards against messages in deployments that have no such servers."""
         self.vms[0].answer(running=4, machine=None)
@@ -284,6 +364,7 @@
         self.assertIsNotNone(collect(json.dumps(doc).encode()))
         for index, value in (
             (0, 7),
+            (0, 's' * 1000),
             (2, -1),
             (2, 10**9),
             (3, 'many'),
@@ -297,12 +378,68 @@
                 odd_row[index] = value
                 odd = {**doc, 'reports': [odd_row]}
                 self.assertIsNone(collect(json.dumps(odd).encode()))
+        for field, value in (
+            ('vm', 'v' * 1000),
+            ('after', -1),
+            ('reports', [row] * 50_000),
+        ):
+            with self.subTest(field=field):
+                odd = {**doc, field: value}
+                self.assertIsNone(collect(json.dumps(odd).encode()))
         for body in (b'', b'[]', b'{}', b'[' * 100_000):
             with self.subTest(body=body[:10]):
                 self.assertIsNone(collect(body))
 
+    def test_the_largest_message_is_accepted(self) -> None:
+        """Guards against refusing the reports of requests with odd keys."""
+        exchange = self.vms[0].exchange
+        load = steering.LoadReport(999_999, 999_999, 20.0)
+        for _ in range(600):
+            exchange.record('s' * 256, '\x01' * 64, load, 1000.0)
+            exchange.record('s' * 257, '', load, 1000.0)
+        rows = _report_exchange.to_rows(exchange.unsent, 1002.0)
+        self.assertEqual(len(rows), 512)
+        body = json.dumps(
+            {
+                'vm': 'v' * 256,
+                'collector_start': '1000.000000',
+                'after': 10**12,
+                'reports': rows,
+            }
+        ).encode()
+        self.assertIsNotNone(self.vms[2].exchange.collect(body))
+
     def test_unsent_reports_are_bounded(self) -> None:
         """Guards against memory that grows while there is no other VM."""
         for _ in range(2000):
             self.vms[0].answer(running=1)
         self.assertLessEqual(len(self.vms[0].exchange.unsent), 512)
+
+
+class TestReportedObjects(test_entry_requests.RequestTestCase):
+    """The objects that a VM reports as handled by a server."""
+
+    async def reported_objects(
+        self, *outcomes: delivery.ForwardOutcome, affinity_key: str = 'x'
+    ) -> list[str]:
+        """Return the objects that are reported for one request."""
+        self.build(*outcomes)
+        recorder = mock.Mock()
+        self.system.attempt_sender.report_exchange = recorder
+        await self.serve(affinity_key=affinity_key)
+        return [call.args[1] for call in recorder.record.call_args_list]
+
+    async def test_only_a_server_that_ran_the_request_has_the_object(
+        self,
+    ) -> None:
+        """Guards against sending all VMs to a server that sheds requests."""
+        load = ('X-Server-Load', '3,9,3,100')
+        for outcome, expected in (
+            (test_entry_requests.answered(200, load), ['x']),
+            (test_entry_requests.answered(404, load), ['x']),
+            (test_entry_requests.shed(503, load), ['']),
+            (test_entry_requests.answered(500, load), ['']),
+        ):
+            with self.subTest(status=outcome.status):
+                reported = await self.reported_objects(outcome)
+                self.assertEqual(reported[:1], expected)
