--- a/filbertstep/steering/_overload.py
+++ b/filbertstep/steering/_overload.py
@@ -29,6 +29,8 @@
 # Ranks below this one have the same weight.
 MAX_RANK: typing.Final = 16
 
+WEIGHTS: typing.Final = tuple(0.5**rank for rank in range(MAX_RANK + 1))
+
 # The weight of a request doubles after this wait, triples after twice that.
 # With 1 s, old late requests took slots from urgent ones.
 AGING_S: typing.Final = 4.0
@@ -69,9 +71,13 @@
 # A plan is made after changes of this share of the queue, so that its cost
 # for each request does not grow with the queue, and at least at this interval,
 # since waiting requests become late without any change.
-CHANGED_SHARE: typing.Final = 1.0 / 8.0
+CHANGED_SHARE: typing.Final = 1.0 / 4.0
 PLAN_INTERVAL_S: typing.Final = 0.1
 
+# Interval at which all requests are checked for their ends, shorter than that
+# of the ticks that call for it.
+SCAN_INTERVAL_S: typing.Final = 0.04
+
 # Interval at which the usable slots are counted.
 COUNT_INTERVAL_S: typing.Final = 0.25
 
@@ -254,7 +260,7 @@
 
 def weight(priority: int) -> float:
     """Return the weight of a priority, 1 for the highest, which is 0."""
-    return float(0.5 ** min(MAX_RANK, priority))
+    return WEIGHTS[min(MAX_RANK, priority)]
 
 
 def value(request: RequestCost, now: float) -> float:
@@ -492,7 +498,10 @@
         self.counted_at = float('-inf')
         self.counted_slots = 0.0
         self.planned_at = float('-inf')
+        self.scanned_at = float('-inf')
         self.compared_all_at = float('-inf')
+        # Sets of regions that the waiting requests may use.
+        self.scopes: set[tuple[str | None, frozenset[str] | None]] = set()
         self.changes = 0
         self.least_value = 0.0
         # The least value that the last plan kept, and the work that waits.
@@ -523,6 +532,13 @@
             self.changes > 0 and self.changes >= CHANGED_SHARE * waiting
         ) or not 0.0 <= now - self.planned_at < PLAN_INTERVAL_S
 
+    def wants_scan(self, now: float) -> bool:
+        """Return whether all requests should be checked for their ends."""
+        if 0.0 <= now - self.scanned_at < SCAN_INTERVAL_S:
+            return False
+        self.scanned_at = now
+        return True
+
     def wants_comparison_of_all(self, now: float) -> bool:
         """Return whether servers should be compared for all requests."""
         if 0.0 <= now - self.compared_all_at < COMPARE_ALL_INTERVAL_S:
--- a/filbertstep/steering/_waiting.py
+++ b/filbertstep/steering/_waiting.py
@@ -7,13 +7,21 @@
 """
 
 import asyncio
+import bisect
 import collections.abc
+import operator
 import typing
 
 from filbertstep.steering import _overload
 from filbertstep.steering import _placement
 from filbertstep.steering import _servers
 
+# Region and allowed regions of a request.
+Scope = tuple[str | None, frozenset[str] | None]
+
+# Waiting requests by server.
+WaitCounts = dict[_servers.ServerRecord, int]
+
 
 class WaitingRequest:
     """A request that waits for a slot.
@@ -52,12 +60,25 @@
         self.waits_since = arrived_at
         self.goes_first = False
         self.retry_after_s: float | None = None
-        # The server that was best when servers were compared last.
-        self.best_server: _servers.ServerRecord | None = None
+        self.scope: Scope = (query.region, query.allowed_regions)
+        # In the order by cost, the counts of its queue, and the server for
+        # which it counts as waiting.
+        self.counts: WaitCounts = {}
+        self.counted_at: _servers.ServerRecord | None = None
         self.future: asyncio.Future[_placement.Candidate | None] = (
             asyncio.get_running_loop().create_future()
         )
 
+    def count_at(self, server: _servers.ServerRecord | None) -> None:
+        """Count as waiting for a server, and no longer for another."""
+        if server is self.counted_at:
+            return
+        if self.counted_at is not None:
+            self.counts[self.counted_at] -= 1
+        if server is not None:
+            self.counts[server] = self.counts.get(server, 0) + 1
+        self.counted_at = server
+
 
 class WaitQueue:
     """Waiting requests by service, sorted in the order of their dispatch."""
@@ -67,22 +88,34 @@
         self.queues: dict[str, list[WaitingRequest]] = {}
         # Services whose queues are ordered by cost.
         self.schedules: dict[str, _overload.ServiceSchedule] = {}
+        self.counts: dict[str, WaitCounts] = {}
 
     def order_by_cost(
         self, services: collections.abc.Set[str], now: float
     ) -> None:
         """Order the queues of these services by cost, others by priority."""
         for service in self.schedules.keys() - services:
-            del self.schedules[service]
+            del self.schedules[service], self.counts[service]
             queue = self.queues.get(service, [])
             for request in queue:
+                request.count_at(None)
                 request.sort_key = request.priority_key
                 request.deadline = min(
                     request.deadline, request.former_deadline
                 )
             queue.sort(key=lambda queued: queued.sort_key)
         for service in services - self.schedules.keys():
-            self.schedules[service] = _overload.ServiceSchedule(now)
+            schedule = _overload.ServiceSchedule(now)
+            schedule.scopes = {
+                request.scope for request in self.queues.get(service, ())
+            }
+            self.schedules[service] = schedule
+            self.counts[service] = {}
+            for request in self.queues.get(service, ()):
+                request.counts = self.counts[service]
+            servers = self.placement.table.by_service.get(service, {})
+            for server in servers.values():
+                server.waiting_requests = 0
 
     def plans(self, service: str, now: float) -> bool:
         """Return whether there are plans for the requests of a service.
@@ -120,6 +153,10 @@
                     if request.cost is not None
                     else uncosted_key(request)
                 )
+            schedule.scopes.add(request.scope)
+            request.counts = self.counts[request.query.service]
+            bisect.insort(queue, request, key=sort_key_of)
+            return
         queue.append(request)
         queue.sort(key=lambda queued: queued.sort_key)
 
@@ -150,11 +187,10 @@
         if schedule is None or best.can_send_now:
             self.dispatch(service, now)
             return
-        self.update_plan(schedule, service, now)
-        self.queues[service] = end_rejected(self.queues[service])
-        if not request.future.done():
-            request.best_server = best.server
-            best.server.waiting_requests += 1
+        request.count_at(best.server)
+        if self.update_plan(schedule, service, now):
+            self.queues[service] = end_rejected(self.queues[service])
+        best.server.waiting_requests = self.counts[service][best.server]
 
     def discard(self, request: WaitingRequest) -> None:
         """Remove a request if it is still queued.
@@ -164,6 +200,7 @@
         queue = self.queues.get(request.query.service, [])
         if request in queue:
             queue.remove(request)
+            request.count_at(None)
 
     def limit_waits(self, deadline: float) -> None:
         """End all waits at a time that is given, or before."""
@@ -222,65 +259,101 @@
         a dispatch does not grow with the queue.
         """
         schedule.supply.advance(now, True)
-        self.update_plan(schedule, service, now)
-        for server in self.placement.table.by_service.get(
-            service, {}
-        ).values():
+        planned = self.update_plan(schedule, service, now)
+        queue, counts = self.queues[service], self.counts[service]
+        # A request is compared with those before it only.
+        for server in counts:
             server.waiting_requests = 0
-        compares_all = schedule.wants_comparison_of_all(now)
-        compared: dict[object, int] = {}
+        scans_all = schedule.wants_scan(now)
+        compares_all = scans_all and schedule.wants_comparison_of_all(now)
+        compared: dict[Scope, int] = {}
+        open_scopes = len(schedule.scopes)
         remaining = []
-        for request in self.queues[service]:
-            if request.future.done():
-                schedule.changes += 1
-                continue
-            if now >= request.deadline:
-                schedule.changes += 1
-                request.future.set_result(None)
-                continue
-            query = request.query
-            scope = (query.region, query.allowed_regions)
-            count = compared.get(scope, 0)
-            if count < _overload.COMPARED_REQUESTS or compares_all:
-                candidate = self.placement.best_candidate(query, now)
-                if candidate is not None and candidate.can_send_now:
-                    # As in ``dispatch``, the slot is reserved here.
-                    reserve_slot(candidate, now)
-                    record_dispatch(schedule, request, now)
-                    request.future.set_result(candidate)
-                    continue
-                if (
-                    candidate is None
-                    and self.placement.accepting_from(query, now) > now
-                ):
-                    schedule.changes += 1
-                    request.future.set_result(None)
-                    continue
-                compared[scope] = count + 1
-                request.best_server = (
-                    None if candidate is None else candidate.server
-                )
-            if request.best_server is not None:
-                request.best_server.waiting_requests += 1
-            remaining.append(request)
-        remaining = end_rejected(remaining)
+        place = 0
+        for place, request in enumerate(queue, 1):
+            count = compared.get(request.scope, 0)
+            compares = count < _overload.COMPARED_REQUESTS or compares_all
+            if request.future.done() or now >= request.deadline:
+                self.end_wait(schedule, request, None)
+            elif compares and self.try_send(schedule, request, now):
+                pass
+            else:
+                remaining.append(request)
+                compared[request.scope] = count + 1
+                if count + 1 == _overload.COMPARED_REQUESTS:
+                    open_scopes -= 1
+                if open_scopes <= 0 and not scans_all:
+                    break
+        remaining += queue[place:]
+        if scans_all:
+            schedule.scopes = {request.scope for request in remaining}
+        if planned:
+            remaining = end_rejected(remaining)
+        for server, waiting in list(counts.items()):
+            server.waiting_requests = waiting
+            if not waiting:
+                del counts[server]
         if remaining:
             self.queues[service] = remaining
         else:
             schedule.record_empty()
             del self.queues[service]
 
+    def try_send(
+        self,
+        schedule: _overload.ServiceSchedule,
+        request: WaitingRequest,
+        now: float,
+    ) -> bool:
+        """Send a request if there is a slot; return whether its wait ends.
+
+        It also ends if no server wants any request.
+        """
+        candidate = self.placement.best_candidate(request.query, now)
+        if candidate is None:
+            if self.placement.accepting_from(request.query, now) > now:
+                self.end_wait(schedule, request, None)
+                return True
+            request.count_at(None)
+            return False
+        if not candidate.can_send_now:
+            request.count_at(candidate.server)
+            candidate.server.waiting_requests += 1
+            return False
+        # As in ``dispatch``, the slot is reserved here.
+        reserve_slot(candidate, now)
+        if request.cost is not None:
+            if request.goes_first:
+                schedule.charge_first(request.cost)
+            schedule.record_dispatch(request.cost, now)
+        self.end_wait(schedule, request, candidate)
+        return True
+
+    def end_wait(
+        self,
+        schedule: _overload.ServiceSchedule,
+        request: WaitingRequest,
+        candidate: _placement.Candidate | None,
+    ) -> None:
+        """End the wait of a request that leaves the queue."""
+        schedule.changes += 1
+        request.count_at(None)
+        if not request.future.done():
+            request.future.set_result(candidate)
+
     def update_plan(
         self, schedule: _overload.ServiceSchedule, service: str, now: float
-    ) -> None:
+    ) -> bool:
         """Plan the queue of a service anew if there is reason to.
 
+        Returns whether it was planned.
+
         Requests that have no chance get their Retry-After.  They are rejected
         only after the dispatch, as a slot may be free that no other can use.
         """
         queue = self.queues.get(service, [])
         if not schedule.is_due(len(queue), now):
-            return
+            return False
         self.count_slots(schedule, service, now)
         costed = [
             (request, request.cost)
@@ -308,7 +381,8 @@
                 costed[rejection.position][
                     0
                 ].retry_after_s = rejection.retry_after_s
-        queue.sort(key=lambda queued: queued.sort_key)
+        queue.sort(key=sort_key_of)
+        return True
 
     def count_slots(
         self, schedule: _overload.ServiceSchedule, service: str, now: float
@@ -335,6 +409,9 @@
         )
 
 
+sort_key_of = operator.attrgetter('sort_key')
+
+
 def uncosted_key(request: WaitingRequest) -> _overload.SortKey:
     """Return the place of a request without a plan, as if it were on time."""
     return (_overload.ON_TIME_TIER, *request.priority_key[1:])
@@ -346,23 +423,13 @@
     for request in queue:
         if request.retry_after_s is None:
             kept.append(request)
-        elif not request.future.done():
+            continue
+        request.count_at(None)
+        if not request.future.done():
             request.future.set_result(None)
     return kept
 
 
-def record_dispatch(
-    schedule: _overload.ServiceSchedule, request: WaitingRequest, now: float
-) -> None:
-    """Record that a request which waited got a slot."""
-    if request.cost is None:
-        schedule.changes += 1
-        return
-    if request.goes_first:
-        schedule.charge_first(request.cost)
-    schedule.record_dispatch(request.cost, now)
-
-
 def reserve_slot(candidate: _placement.Candidate, now: float) -> None:
     """Reserve a slot of a server for a request that is about to be sent."""
     server = candidate.server
