--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -259,7 +259,8 @@
     def reload(self, reason: str) -> None:
         """Load the settings again and apply them if they changed.
 
-        Only the bounds and the regions take effect without a restart.
+        Only the bounds, the regions and the order of waiting requests take
+        effect without a restart.
         """
         loaded = self.platform.load_settings()
         if isinstance(loaded, result.Err):
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -122,7 +122,10 @@
         }
 
     def set_settings(self, settings: _contracts.EntrySettings) -> None:
-        """Apply changed settings; bounds and regions can change in a run."""
+        """Apply changed settings.
+
+        Bounds, regions and the order of waiting requests can change in a run.
+        """
         self.settings = settings
         self.servers.region_by_zone = settings.region_by_zone
         for table in (
--- a/filbertstep/steering/_overload.py
+++ b/filbertstep/steering/_overload.py
@@ -68,18 +68,18 @@
 # Most requests that wait for one service.  Bounds the time of a plan.
 MAX_WAITING: typing.Final = 512
 
-# A plan is made after changes of this share of the queue, so that its cost
-# for each request does not grow with the queue, and at least at this interval,
-# since waiting requests become late without any change.
-CHANGED_SHARE: typing.Final = 1.0 / 4.0
-PLAN_INTERVAL_S: typing.Final = 0.1
+# A plan is made when this share of the queue has arrived since the last one,
+# so that its cost for each request does not grow with the queue, and at least
+# at this interval, since waiting requests become late without any arrival.
+ARRIVED_SHARE: typing.Final = 1.0 / 4.0
+PLAN_INTERVAL_S: typing.Final = 0.2
 
 # Interval at which all requests are checked for their ends, shorter than that
 # of the ticks that call for it.
 SCAN_INTERVAL_S: typing.Final = 0.04
 
 # Interval at which the usable slots are counted.
-COUNT_INTERVAL_S: typing.Final = 0.25
+COUNT_INTERVAL_S: typing.Final = 0.5
 
 # Half-life of the observed dispatches, and the time for which the counted
 # slots weigh as much as an observation.  A few runs of most routes.
@@ -105,6 +105,11 @@
 # prefer to wait for a server with their object; with four, slots stayed free
 # until the interval.
 COMPARED_REQUESTS: typing.Final = 8
+
+# As many of them count as compared once a request is sent.  Mostly a single
+# slot became free, which that request has taken.
+COMPARED_BEFORE_SEND: typing.Final = 6
+
 COMPARE_ALL_INTERVAL_S: typing.Final = 0.25
 
 # A service is in overload until nothing was rejected for this time.
@@ -282,16 +287,19 @@
     account and are not limited.  Returns the positions of requests beyond the
     bound of an account; these wait behind those of all others.
     """
-    work_by_account: dict[str | None, float] = {}
-    rates: dict[str | None, float] = {}
-    for request in requests:
-        account = request.account
-        work_by_account[account] = (
-            work_by_account.get(account, 0.0) + request.work_s
-        )
-        rates[account] = request.rate_per_s
-    if len(work_by_account) < 2:
+    positions_of: dict[str | None, list[int]] = {}
+    for index, request in enumerate(requests):
+        positions_of.setdefault(request.account, []).append(index)
+    if len(positions_of) < 2:
         return set()
+    work_by_account = {
+        account: sum([requests[index].work_s for index in positions])
+        for account, positions in positions_of.items()
+    }
+    rates = {
+        account: requests[positions[0]].rate_per_s
+        for account, positions in positions_of.items()
+    }
     if min(rates.values()) <= 0.0:
         rates = dict.fromkeys(rates, 1.0)
     total_s = sum(work_by_account.values())
@@ -303,12 +311,7 @@
             continue
         bound_s = max(fair_s, MAX_ACCOUNT_SHARE * total_s)
         positions = sorted(
-            (
-                index
-                for index, request in enumerate(requests)
-                if request.account == account
-            ),
-            key=lambda index: -values[index],
+            positions_of[account], key=values.__getitem__, reverse=True
         )
         cumulative_s = 0.0
         for place, index in enumerate(positions):
@@ -336,7 +339,17 @@
     in the middle of runs like it.  ``first`` is the position of a request that
     goes before all others.
     """
-    values = [value(request, now) for request in requests]
+    # ``value`` for each, without the cost of so many calls.
+    values = [
+        WEIGHTS[request.priority if request.priority < MAX_RANK else MAX_RANK]
+        * (
+            1.0 + (now - request.arrived_at) / AGING_S
+            if now > request.arrived_at
+            else 1.0
+        )
+        / request.work_s
+        for request in requests
+    ]
     excess = limit_accounts(requests, values)
     total_s = 0.0 if first is None else requests[first].work_s
     dues = [request.due - now for request in requests]
@@ -502,7 +515,7 @@
         self.compared_all_at = float('-inf')
         # Sets of regions that the waiting requests may use.
         self.scopes: set[tuple[str | None, frozenset[str] | None]] = set()
-        self.changes = 0
+        self.arrivals = 0
         self.least_value = 0.0
         # The least value that the last plan kept, and the work that waits.
         self.least_kept_value = 0.0
@@ -529,7 +542,7 @@
     def is_due(self, waiting: int, now: float) -> bool:
         """Return whether there is reason to make a plan."""
         return (
-            self.changes > 0 and self.changes >= CHANGED_SHARE * waiting
+            self.arrivals > 0 and self.arrivals >= ARRIVED_SHARE * waiting
         ) or not 0.0 <= now - self.planned_at < PLAN_INTERVAL_S
 
     def wants_scan(self, now: float) -> bool:
@@ -548,7 +561,7 @@
 
     def record_arrival(self, request: RequestCost, now: float) -> None:
         """Record a request that has to wait."""
-        self.changes += 1
+        self.arrivals += 1
         self.kept_s += request.work_s
         self.record_seen(request, now)
 
@@ -563,7 +576,6 @@
 
     def record_dispatch(self, request: RequestCost, now: float) -> None:
         """Record that a waiting request got a slot."""
-        self.changes += 1
         self.kept_s = max(0.0, self.kept_s - request.work_s)
         self.supply.record_dispatch(request.work_s)
         self.unserved_credit_s = min(
@@ -650,7 +662,7 @@
     ) -> Plan | None:
         """Return a plan, None if it is unknown how fast slots become free."""
         self.planned_at = now
-        self.changes = 0
+        self.arrivals = 0
         slots = self.slots()
         self.has_plan = slots is not None
         if slots is None:
--- a/filbertstep/steering/_waiting.py
+++ b/filbertstep/steering/_waiting.py
@@ -274,18 +274,31 @@
             count = compared.get(request.scope, 0)
             compares = count < _overload.COMPARED_REQUESTS or compares_all
             if request.future.done() or now >= request.deadline:
-                self.end_wait(schedule, request, None)
+                end_wait(request, None)
             elif compares and self.try_send(schedule, request, now):
-                pass
+                compared[request.scope] = max(
+                    count, _overload.COMPARED_BEFORE_SEND
+                )
             else:
                 remaining.append(request)
                 compared[request.scope] = count + 1
                 if count + 1 == _overload.COMPARED_REQUESTS:
                     open_scopes -= 1
-                if open_scopes <= 0 and not scans_all:
+                if open_scopes <= 0 and not compares_all:
                     break
-        remaining += queue[place:]
+        rest = queue[place:]
         if scans_all:
+            ended = [
+                request
+                for request in rest
+                if now >= request.deadline or request.future.done()
+            ]
+            for request in ended:
+                end_wait(request, None)
+            if ended:
+                rest = [each for each in rest if not each.future.done()]
+        remaining += rest
+        if compares_all:
             schedule.scopes = {request.scope for request in remaining}
         if planned:
             remaining = end_rejected(remaining)
@@ -312,7 +325,7 @@
         candidate = self.placement.best_candidate(request.query, now)
         if candidate is None:
             if self.placement.accepting_from(request.query, now) > now:
-                self.end_wait(schedule, request, None)
+                end_wait(request, None)
                 return True
             request.count_at(None)
             return False
@@ -326,21 +339,9 @@
             if request.goes_first:
                 schedule.charge_first(request.cost)
             schedule.record_dispatch(request.cost, now)
-        self.end_wait(schedule, request, candidate)
+        end_wait(request, candidate)
         return True
 
-    def end_wait(
-        self,
-        schedule: _overload.ServiceSchedule,
-        request: WaitingRequest,
-        candidate: _placement.Candidate | None,
-    ) -> None:
-        """End the wait of a request that leaves the queue."""
-        schedule.changes += 1
-        request.count_at(None)
-        if not request.future.done():
-            request.future.set_result(candidate)
-
     def update_plan(
         self, schedule: _overload.ServiceSchedule, service: str, now: float
     ) -> bool:
@@ -417,6 +418,15 @@
     return (_overload.ON_TIME_TIER, *request.priority_key[1:])
 
 
+def end_wait(
+    request: WaitingRequest, candidate: _placement.Candidate | None
+) -> None:
+    """End the wait of a request that leaves a queue ordered by cost."""
+    request.count_at(None)
+    if not request.future.done():
+        request.future.set_result(candidate)
+
+
 def end_rejected(queue: list[WaitingRequest]) -> list[WaitingRequest]:
     """End the waits of rejected requests; return the other requests."""
     kept = []
@@ -424,9 +434,7 @@
         if request.retry_after_s is None:
             kept.append(request)
             continue
-        request.count_at(None)
-        if not request.future.done():
-            request.future.set_result(None)
+        end_wait(request, None)
     return kept
 
 
