--- a/filbertstep/steering/_overload.py
+++ b/filbertstep/steering/_overload.py
@@ -493,11 +493,16 @@
 
 
 class UnservedGroup:
-    """Since when a route or an account was not served, and last seen."""
+    """Since when a route or an account was not served, and last seen.
+
+    ``served`` is set from a dispatch until the next request arrives: time
+    without requests is no time without service.
+    """
 
     def __init__(self, now: float) -> None:
         self.unserved_since = now
         self.seen_at = now
+        self.served = False
 
 
 class ServiceSchedule:
@@ -571,8 +576,11 @@
             known = self.groups.get(group)
             if known is None or now - known.seen_at > FORGET_GROUP_S:
                 self.groups[group] = UnservedGroup(now)
-            else:
-                known.seen_at = now
+                continue
+            known.seen_at = now
+            if known.served:
+                known.served = False
+                known.unserved_since = now
 
     def record_dispatch(self, request: RequestCost, now: float) -> None:
         """Record that a waiting request got a slot."""
@@ -585,6 +593,7 @@
         for group in groups_of(request):
             known = self.groups.get(group)
             if known is not None:
+                known.served = True
                 known.unserved_since = now
 
     def record_empty(self) -> None:
--- a/tests/test_entry_overload.py
+++ b/tests/test_entry_overload.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import typing
+import unittest
+
+import result
 
 from filbertstep import errors
 from filbertstep import steering
+from filbertstep.entry import _contracts
 from filbertstep.entry import _messages
 from filbertstep.entry import _program
+from filbertstep.platform import _settings
 from tests import entry_samples
 from tests import steering_samples as samples
 from tests import test_entry_requests
+from tests import test_platform_adapter
 
 ARCHIVE: typing.Final = samples.route(
     name='archive',
@@ -204,3 +210,26 @@
         self.assertEqual(set(self.state.wait_queue.schedules), {'orders'})
         self.configure(routes=(samples.route(priority=0),))
         self.assertEqual(set(self.state.wait_queue.schedules), set())
+
+
+class TestSetting(unittest.TestCase):
+    """The setting ``overload_order``."""
+
+    def parse(
+        self, field: str
+    ) -> result.Result[_contracts.EntrySettings, str]:
+        """Parse sample settings with one more field."""
+        text = test_platform_adapter.render_settings({})
+        return _settings.parse_settings(text.replace('{', '{' + field, 1))
+
+    def test_values_are_checked(self) -> None:
+        """Guards against a start with a misspelt order."""
+        for field, expected in (
+            ('', steering.OverloadOrder.AUTO),
+            ('overload_order: "auto",', steering.OverloadOrder.AUTO),
+            ('overload_order: "cost",', steering.OverloadOrder.COST),
+            ('overload_order: "priority",', steering.OverloadOrder.PRIORITY),
+        ):
+            self.assertIs(self.parse(field).unwrap().overload_order, expected)
+        for field in ('overload_order: "costs",', 'overload_order: 1,'):
+            self.assertIn('$.overload_order', self.parse(field).unwrap_err())
--- a/tests/test_steering_overload.py
+++ b/tests/test_steering_overload.py
@@ -332,6 +332,29 @@
         ]
         self.assertLess(max(gaps), 2 * _overload.MAX_UNSERVED_S)
 
+    def test_a_quiet_account_is_not_starved(self) -> None:
+        """An account with few requests must not go before all others."""
+        quiet = cost(account='quiet')
+        self.schedule.record_arrival(quiet, 0.0)
+        self.schedule.record_dispatch(quiet, 0.1)
+        again = cost(account='quiet', route='r-2', arrived_at=20.0)
+        others = [cost(account='busy', arrived_at=20.0)]
+        for request in (*others, again):
+            self.schedule.record_arrival(request, 20.0)
+        plan = self.schedule.plan([*others, again], 20.0)
+        assert plan is not None
+        self.assertIsNone(plan.first)
+        # Requests that were rejected since are time without service.
+        for step in range(6):
+            self.schedule.record_seen(again, 20.0 + step)
+        plan = self.schedule.plan([*others, again], 20.0)
+        assert plan is not None
+        self.assertIsNone(plan.first)
+        late = cost(account='quiet', arrived_at=26.0)
+        plan = self.schedule.plan([*others, late], 26.0)
+        assert plan is not None
+        self.assertEqual(plan.first, 1)
+
     def test_retries_are_spread_over_the_time_of_capacity(self) -> None:
         """A burst is rejected: its callers must not return together."""
         requests = [
