--- a/tests/test_shared_reports.py
+++ b/tests/test_shared_reports.py
@@ -378,13 +378,13 @@
                 odd_row[index] = value
                 odd = {**doc, 'reports': [odd_row]}
                 self.assertIsNone(collect(json.dumps(odd).encode()))
-        for field, value in (
+        for field, odd_value in (
             ('vm', 'v' * 1000),
             ('after', -1),
             ('reports', [row] * 50_000),
         ):
             with self.subTest(field=field):
-                odd = {**doc, field: value}
+                odd = {**doc, field: odd_value}
                 self.assertIsNone(collect(json.dumps(odd).encode()))
         for body in (b'', b'[]', b'{}', b'[' * 100_000):
             with self.subTest(body=body[:10]):
