Reckon with the slowdown of the machine in the longest time of a run

A stopping VM sends a request only if the answer certainly arrives before its exit. Since the figure of the machine explains long runs, they do not raise the slowdown of the server, and the longest time did not contain either. The new test failed: 0.78 s for a run that takes 1.95 s. It is unchanged for servers that do not report the figure.

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -708,7 +708,8 @@
             else:
                 run_s = costs.maybe_cached_s
         slowdown = server.slowdown
-        run_s *= slowdown * server.current_machine_slowdown(now)
+        machine_slowdown = server.current_machine_slowdown(now)
+        run_s *= slowdown * machine_slowdown
         requests_ahead = (
             server.estimated_requests(now) + server.waiting_requests
         )
@@ -730,6 +731,7 @@
             + slot_wait_s
             + costs.uncached_s
             * (slowdown if slowdown > 1.0 else 1.0)
+            * (machine_slowdown if machine_slowdown > 1.0 else 1.0)
             * MAX_NORMAL_SLOWDOWN,
         )
 
--- a/tests/test_measured_runs.py
+++ b/tests/test_measured_runs.py
@@ -111,3 +111,20 @@
         assert best is not None
         self.assertEqual(best.server.entry.server_id, 's1')
         self.assertLess(self.server.current_machine_slowdown(11.5), 1.1)
+
+    def test_the_longest_time_contains_the_slowdown_of_the_machine(
+        self,
+    ) -> None:
+        """Guards against requests that the exit of a stopping VM cuts off.
+
+        What such a run takes no longer raises the slowdown of the server.
+        """
+        query = steering.PlacementQuery(ROUTE, 'orders', 'x', None)
+        for slowdown, factor in ((1.0, 1.0), (2.5, 2.5), (0.5, 1.0)):
+            with self.subTest(slowdown=slowdown):
+                self.server.record_machine(slowdown, 10.0)
+                candidate = self.placement.best_candidate(query, 10.0)
+                assert candidate is not None
+                self.assertGreaterEqual(
+                    candidate.longest_s, 1.3 * factor * UNCACHED_S
+                )
