--- a/tests/fleet_soak/_world.py
+++ b/tests/fleet_soak/_world.py
@@ -59,6 +59,14 @@
 # idle.
 DRAIN_DURATION_S: typing.Final = 3.0
 
+# In two thirds of the worlds, the machines of servers are slow by turns, and
+# the servers report it; one kind of request is urgent and another one is not.
+EVEN_SEED_DIVISOR: typing.Final = 3
+SLOW_MACHINE_FACTOR: typing.Final = 2.5
+SLOW_MACHINE_SHARE: typing.Final = 0.15
+MACHINE_CHANGE_S: typing.Final = 0.6
+PRIORITIES: typing.Final = {'/order/': 0, '/status/': 1, '/stock/': 2}
+
 # Pauses in seconds that a full server asks for; 0 stands for no such request.
 PAUSES_S: typing.Final = (0.0, 0.8, 5.0)
 
@@ -126,6 +134,18 @@
         )
         self.register()
 
+    @property
+    def machine_slowdown(self) -> float:
+        """How much longer than usual work takes on the machine now."""
+        if not self.world.is_uneven:
+            return 1.0
+        period = int(self.world.now() / MACHINE_CHANGE_S)
+        is_slow = (
+            random.Random(f'{self.name}/{period}').random()
+            < SLOW_MACHINE_SHARE
+        )
+        return SLOW_MACHINE_FACTOR if is_slow else 1.0
+
     @property
     def link(self) -> str:
         """Return the name of the link to this server."""
@@ -214,6 +234,7 @@
         await asyncio.sleep(
             mean_execution_s
             * self.execution_time_factor
+            * self.machine_slowdown
             * rng.uniform(0.5, 1.5)
         )
         if rng.random() < self.response_loss_probability:
@@ -227,13 +248,18 @@
             headers={
                 'X-Request-Id': request_id,
                 'X-Server-Seal': 'seal',
-                'X-Server-Load': (
-                    f'{self.executing},{self.queued},{SLOTS_PER_SERVER}'
-                ),
+                'X-Server-Load': self.load_report(),
                 **self.leaving_header(request_id),
             },
         )
 
+    def load_report(self) -> str:
+        """Return the load header."""
+        report = f'{self.executing},{self.queued},{SLOTS_PER_SERVER}'
+        if self.world.is_uneven:
+            report += f',{int(100 * self.machine_slowdown)}'
+        return report
+
     def leaving_header(self, request_id: str) -> dict[str, str]:
         """Return the header that announces that the server leaves, if any."""
         if not self.draining:
@@ -327,6 +353,7 @@
     def __init__(self, folder: pathlib.Path, seed: int, vm_count: int) -> None:
         self.folder = folder
         self.rng = random.Random(f'world/{seed}')
+        self.is_uneven = seed % EVEN_SEED_DIVISOR != 0
         self.history = _history.History()
         self.store = platform_store.FakePlatformStore()
         self.links = _standin_link.LinkStandin(
@@ -408,7 +435,7 @@
                 'name': prefix.strip('/'),
                 'kind': 'idempotent' if idempotent else 'non_idempotent',
                 'target_latency_ms': 500,
-                'priority': 1,
+                'priority': PRIORITIES.get(prefix, 1) if self.is_uneven else 1,
                 'sticky': True,
                 'match': {'prefix': prefix},
                 'action': {
