--- a/filbertstep/entry/_report_exchange.py
+++ b/filbertstep/entry/_report_exchange.py
@@ -180,8 +180,8 @@
     async def exchange(self, members: list[steering.Member]) -> None:
         """Exchange reports with the collector, unless this VM is it.
 
-        The collector is the last VM by name.  The first one reads the store
-        for the zone, which is work enough.
+        The collector is the last VM by name, because the first one already
+        reads the store for the zone.
         """
         collector = max(members, key=lambda member: member.vm)
         now = self.clock.now()
--- a/filbertstep/steering/_load_reports.py
+++ b/filbertstep/steering/_load_reports.py
@@ -56,7 +56,7 @@
 
 
 def machine_slowdown(counts: list[int | None]) -> float | None:
-    """Return the slowdown of the machine in a report, None without any."""
+    """Return the slowdown of the machine, None if it is not reported."""
     if len(counts) <= MACHINE_FIGURE_INDEX:
         return None
     figure = counts[MACHINE_FIGURE_INDEX]
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -636,8 +636,8 @@
     def slot_s(self, service: str, run_times: RunTimes) -> float:
         """Return the expected time for which a request ahead holds a slot.
 
-        Where requests are unequal, those ahead are rather others than of the
-        same route.
+        Where requests are unequal, those ahead usually belong to other routes
+        than the waiting one.
         """
         if service not in self.unequal_services:
             return run_times.cached_s
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -184,6 +184,7 @@
         self.announcements = announcements
         self.index: ObjectIndex | None = index
         self.load_changes = load_changes
+        # Reports of other VMs from before may be on a former process.
         self.known_since = now
         self.cold_until = now + entry.cold_left_s
         # Time of the last request sent to the server while it was cold.
