Count two long runs in a row only within ten seconds

From the review: two long requests an hour apart counted as a slow server, and a machine that turned slow just before an answer lowered the averages of the route. Both tests failed before.

--- a/filbertstep/steering/_measured_runs.py
+++ b/filbertstep/steering/_measured_runs.py
@@ -15,6 +15,11 @@
 # expected run time, may be 0.
 MIN_EXPECTED_RUN_S: typing.Final = 0.001
 
+# Time after which a run no longer counts as the one before.  Longer than most
+# times between two requests of one VM to one server, and shorter than the time
+# for which a server stays slow.
+MAX_RUN_INTERVAL_S: typing.Final = 10.0
+
 
 class MeasuredRun(typing.NamedTuple):
     """Time and size of an answered request.
@@ -58,11 +63,18 @@
     ratio = relative_time(run_times, cached, usual_s)
     if ratio < 1.0 and machine_slowdown > 1.0:
         # The machine became slow only shortly before the answer.
-        ratio = min(1.0, relative_time(run_times, cached, run.took_s))
+        expected_s = run_times.expected_run_s(cached)
+        usual_s = min(run.took_s, max(usual_s, expected_s))
+        ratio = relative_time(run_times, cached, usual_s)
     is_long = ratio > _placement.MAX_NORMAL_SLOWDOWN
     # A single long run is a long request; two in a row are a slow server.
-    counted = min(ratio, max(1.0, server.last_run_ratio)) if is_long else ratio
-    server.last_run_ratio = ratio
+    counted = ratio
+    if is_long:
+        in_a_row = now - server.last_run_at <= MAX_RUN_INTERVAL_S
+        counted = min(
+            ratio, max(1.0, server.last_run_ratio) if in_a_row else 1.0
+        )
+    server.last_run_ratio, server.last_run_at = ratio, now
     server.record_success(counted, now)
     if is_long and counted < ratio:
         run_times.record_size(run.size_bytes)
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -204,9 +204,10 @@
         self.slowdown = 1.0
         self.health_updated_at = now
         self.consecutive_failures = 0
-        # Ratio of the last run that was measured, and the slowdown of the
-        # machine that the server last reported.
+        # Ratio of the last run that was measured and its time, and the
+        # slowdown of the machine that the server last reported.
         self.last_run_ratio = 1.0
+        self.last_run_at = float('-inf')
         self.machine_slowdown = 1.0
         self.machine_slowdown_at = now
         self.paused_until = float('-inf')
--- a/tests/test_measured_runs.py
+++ b/tests/test_measured_runs.py
@@ -90,6 +90,21 @@
         self.record(7 * UNCACHED_S, 1.0)
         self.assertGreater(self.server.slowdown, 2.0)
 
+    def test_long_runs_far_apart_are_no_slow_server(self) -> None:
+        """Guards against two long requests an hour apart."""
+        self.record(7 * UNCACHED_S, 1.0)
+        self.record(7 * UNCACHED_S, 1.0, now=3610.0)
+        self.assertLess(self.server.slowdown, 1.1)
+
+    def test_a_machine_that_has_just_turned_slow_leaves_averages(self) -> None:
+        """Guards against averages that fall with each such report.
+
+        Usual runs would count as long ones then.
+        """
+        for _ in range(50):
+            self.record(CACHED_S, 2.5)
+        self.assertAlmostEqual(self.run_times.cached_s, CACHED_S)
+
     def test_without_a_machine_figure_each_long_run_counts(self) -> None:
         """Guards against a change for servers that report three figures."""
         self.record(7 * UNCACHED_S, None)
