Split reservation and comparison into steps that can be explained

An explanation of a decision must use the code that decides. The start and the end of a wait, the reply without a token, the count of a rejection and the comparison of servers become functions of their own.

--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -46,6 +46,18 @@
 ]
 
 
+class BegunWait(typing.NamedTuple):
+    """A request that is about to wait for a slot.
+
+    ``best`` is the best server now.  The wait ends at ``wait_end``, or before
+    if this VM stops.
+    """
+
+    waiter: steering.WaitingRequest
+    best: steering.Candidate
+    wait_end: float
+
+
 class RequestHandler:
     """Admits callers' requests and sends them to backend servers."""
 
@@ -207,10 +219,18 @@
         now = self.clock.now()
         if quotas.try_take(account, now):
             return None
+        return self.refuse_over_rate(account, now)
+
+    def refuse_over_rate(
+        self, account: steering.ClientAccount, now: float
+    ) -> _messages.Reply:
+        """Return the failure reply for a request without a rate token."""
         return _messages.failure_reply(
             ErrorKind.OVER_RATE,
             'the client account is over its rate',
-            _messages.clamp_retry_after(quotas.token_wait_s(account, now)),
+            _messages.clamp_retry_after(
+                self.state.quotas.token_wait_s(account, now)
+            ),
         )
 
     def refund_token(
@@ -228,16 +248,12 @@
         """Send attempts until a server answers or no retry is allowed."""
         attempts: list[_tries.FinishedAttempt] = []
         while True:
-            query = steering.PlacementQuery(
-                admitted.route,
-                admitted.service,
-                admitted.call.affinity_key if admitted.route.sticky else '',
-                admitted.allowed_regions,
+            query = placement_query(
+                admitted,
                 frozenset(
                     attempt.candidate.server.entry.server_id
                     for attempt in attempts
                 ),
-                admitted.region,
             )
             candidate = await self.reserve_server(admitted, query)
             if isinstance(candidate, _messages.Reply):
@@ -286,62 +302,94 @@
         Returns the reserved candidate, or a failure reply if no slot becomes
         free in time.
         """
-        state = self.state
-        max_wait_s = max_slot_wait_s(admitted)
-        wait_until = min(
-            self.clock.now() + max_wait_s, admitted.deadline - MIN_ATTEMPT_S
-        )
+        wait_until = self.wait_until(admitted)
         while True:
             now = self.clock.now()
-            best, placed_query = self.find_candidate(admitted, query, now)
-            if best is None:
-                return self.refuse_no_server(admitted, now)
-            if admitted.deadline - now < MIN_ATTEMPT_S:
-                return _messages.failure_reply(
-                    ErrorKind.NO_ROOM,
-                    'no time is left',
-                    _messages.MIN_RETRY_AFTER_S,
-                )
-            if not self.can_finish(admitted, best, now):
-                return self.refuse_stopping()
-            if best.can_send_now and not state.wait_queue.length(
-                query.service
-            ):
-                steering.reserve_slot(best, now)
-                return best
-            cost = self.request_cost(admitted, best, now)
-            if (
-                cost is None
-                and not best.can_send_now
-                and best.slot_wait_s > max_wait_s
-            ):
-                return self.refuse_no_slot(admitted, best.slot_wait_s)
-            wait_end = self.before_exit(
-                wait_until if cost is None else cost.latest_start
+            begun = self.begin_reservation(admitted, query, wait_until, now)
+            if not isinstance(begun, BegunWait):
+                return begun
+            reserved = await self.wait_for_slot(
+                admitted, begun.waiter, begun.best, now
             )
-            waiter = steering.WaitingRequest(
-                placed_query,
-                effective_priority(admitted),
-                now,
-                admitted.call.arrived_at + admitted.route.target_s,
-                wait_end,
-                cost,
-                self.before_exit(wait_until),
-            )
-            reserved = await self.wait_for_slot(admitted, waiter, best, now)
-            now = self.clock.now()
-            if reserved is not None:
-                if self.can_finish(admitted, reserved, now):
-                    return reserved
-                reserved.server.in_progress -= 1
-                return self.refuse_stopping()
-            if waiter.retry_after_s is not None:
-                return self.refuse_no_slot(admitted, waiter.retry_after_s)
-            if now >= min(waiter.deadline, self.before_exit(wait_end)):
-                return self.refuse_no_slot(admitted, best.slot_wait_s)
+            ended = self.end_wait(admitted, begun, reserved, self.clock.now())
+            if ended is not None:
+                return ended
             # No server of the query wants the request any more, but those of
             # another region may.
 
+    def wait_until(self, admitted: _messages.Admitted) -> float:
+        """Return when the wait of a request without a cost ends."""
+        return min(
+            self.clock.now() + max_slot_wait_s(admitted),
+            admitted.deadline - MIN_ATTEMPT_S,
+        )
+
+    def begin_reservation(
+        self,
+        admitted: _messages.Admitted,
+        query: steering.PlacementQuery,
+        wait_until: float,
+        now: float,
+    ) -> steering.Candidate | _messages.Reply | BegunWait:
+        """Reserve a slot that is free, refuse the request, or let it wait."""
+        max_wait_s = max_slot_wait_s(admitted)
+        best, placed_query = self.find_candidate(admitted, query, now)
+        if best is None:
+            return self.refuse_no_server(admitted, now)
+        if admitted.deadline - now < MIN_ATTEMPT_S:
+            return _messages.failure_reply(
+                ErrorKind.NO_ROOM,
+                'no time is left',
+                _messages.MIN_RETRY_AFTER_S,
+            )
+        if not self.can_finish(admitted, best, now):
+            return self.refuse_stopping()
+        if best.can_send_now and not self.state.wait_queue.length(
+            query.service
+        ):
+            steering.reserve_slot(best, now)
+            return best
+        cost = self.request_cost(admitted, best, now)
+        if (
+            cost is None
+            and not best.can_send_now
+            and best.slot_wait_s > max_wait_s
+        ):
+            return self.refuse_no_slot(admitted, best.slot_wait_s)
+        wait_end = self.before_exit(
+            wait_until if cost is None else cost.latest_start
+        )
+        waiter = steering.WaitingRequest(
+            placed_query,
+            effective_priority(admitted),
+            now,
+            admitted.call.arrived_at + admitted.route.target_s,
+            wait_end,
+            cost,
+            self.before_exit(wait_until),
+        )
+        return BegunWait(waiter, best, wait_end)
+
+    def end_wait(
+        self,
+        admitted: _messages.Admitted,
+        begun: BegunWait,
+        reserved: steering.Candidate | None,
+        now: float,
+    ) -> steering.Candidate | _messages.Reply | None:
+        """Return what a wait led to, None if servers are compared again."""
+        waiter = begun.waiter
+        if reserved is not None:
+            if self.can_finish(admitted, reserved, now):
+                return reserved
+            reserved.server.in_progress -= 1
+            return self.refuse_stopping()
+        if waiter.retry_after_s is not None:
+            return self.refuse_no_slot(admitted, waiter.retry_after_s)
+        if now >= min(waiter.deadline, self.before_exit(begun.wait_end)):
+            return self.refuse_no_slot(admitted, begun.best.slot_wait_s)
+        return None
+
     async def wait_for_slot(
         self,
         admitted: _messages.Admitted,
@@ -488,6 +536,15 @@
         self, admitted: _messages.Admitted, slot_wait_s: float
     ) -> _messages.Reply:
         """Return the failure reply for a request without a slot in time."""
+        self.record_rejection(admitted)
+        return _messages.failure_reply(
+            ErrorKind.NO_ROOM,
+            'no slot becomes free in time',
+            _messages.clamp_retry_after(slot_wait_s),
+        )
+
+    def record_rejection(self, admitted: _messages.Admitted) -> None:
+        """Count a request without a slot; log the begin of an overload."""
         service, now = admitted.service, self.clock.now()
         self.counters.rejected_overload.labels(
             service, str(effective_priority(admitted))
@@ -500,11 +557,6 @@
                 waiting=self.state.wait_queue.length(service),
                 slots=self.state.wait_queue.known_slots(service),
             )
-        return _messages.failure_reply(
-            ErrorKind.NO_ROOM,
-            'no slot becomes free in time',
-            _messages.clamp_retry_after(slot_wait_s),
-        )
 
     def log_ended_overloads(self, now: float) -> None:
         """Log which services have left overload."""
@@ -641,6 +693,20 @@
         return reply
 
 
+def placement_query(
+    admitted: _messages.Admitted, tried_servers: frozenset[str] = frozenset()
+) -> steering.PlacementQuery:
+    """Return the query for the server of a request's next attempt."""
+    return steering.PlacementQuery(
+        admitted.route,
+        admitted.service,
+        admitted.call.affinity_key if admitted.route.sticky else '',
+        admitted.allowed_regions,
+        tried_servers,
+        admitted.region,
+    )
+
+
 def max_slot_wait_s(admitted: _messages.Admitted) -> float:
     """Return how long in seconds a request may wait for a slot."""
     return MAX_WAIT_FRACTION_OF_TARGET * admitted.route.target_s
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -230,6 +230,18 @@
     other_region_s: float
 
 
+class Comparison(typing.NamedTuple):
+    """The servers to compare for a request, and what their estimates need.
+
+    ``eligible`` holds servers with their ranks, ``distances`` those of all
+    usable servers of the service.
+    """
+
+    eligible: list[tuple[int, _servers.ServerRecord]]
+    distances: dict[_servers.ServerRecord, Distance]
+    costs: RequestCosts
+
+
 class ServiceGroups:
     """Groups of the usable servers of a service, for one generation."""
 
@@ -485,24 +497,10 @@
         holds for all servers, so that no request is refused while another
         server has a free slot.
         """
-        crossing_costs, shared = None, False
-        if query.affinity_key:
-            crossing_costs = self.crossing_costs(query.route)
-            shared = self.copies.shares_copy(
-                _copies.ObjectKey(query.service, query.affinity_key),
-                crossing_costs,
-                now,
-            )
-        eligible = self.eligible_in_groups(query, shared, now)
-        if not eligible:
+        compared = self.comparison(query, now)
+        if compared is None:
             return None
-        distances = self.service_groups(query.service).distances
-        own_copy_due_s = 0.0
-        if crossing_costs is not None and not (
-            shared or self.has_own_copy(query, eligible, distances, now)
-        ):
-            own_copy_due_s = crossing_costs.first_run_s
-        costs = self.request_costs(query, own_copy_due_s)
+        eligible, distances, costs = compared
         best: Candidate | None = None
         best_late, best_s = True, float('inf')
         for rank, server in eligible:
@@ -525,6 +523,31 @@
                 best_s = candidate.estimate_s
         return best
 
+    def comparison(
+        self, query: PlacementQuery, now: float
+    ) -> Comparison | None:
+        """Return the servers to compare, None if there is none."""
+        crossing_costs, shared = None, False
+        if query.affinity_key:
+            crossing_costs = self.crossing_costs(query.route)
+            shared = self.copies.shares_copy(
+                _copies.ObjectKey(query.service, query.affinity_key),
+                crossing_costs,
+                now,
+            )
+        eligible = self.eligible_in_groups(query, shared, now)
+        if not eligible:
+            return None
+        distances = self.service_groups(query.service).distances
+        own_copy_due_s = 0.0
+        if crossing_costs is not None and not (
+            shared or self.has_own_copy(query, eligible, distances, now)
+        ):
+            own_copy_due_s = crossing_costs.first_run_s
+        return Comparison(
+            eligible, distances, self.request_costs(query, own_copy_due_s)
+        )
+
     def ranking_group(
         self, server: _servers.ServerRecord, shared: bool
     ) -> Distance:
