Explain where a request would go from a VM, without sending it

The cause of a decision could only be read from logs afterwards. The peer port answers POST /explain, and filbertstep-explain prints the answer. The code that decides runs on copies of the tables that it changes, so that the explanation is the next decision and the VM's state stays as it is.

A test explains and then serves 720 requests in random courses of a VM; all explanations agree, and all state is the same before and after. Six trials that shared one table with the copy made it fail. With 509 servers, an explanation takes 13 ms, and 17.5 ms with 304 waiting requests (medians of 10, on a busy machine); explains_per_s limits them to two a second.

--- a/filbertstep/_command_line.py
+++ b/filbertstep/_command_line.py
@@ -19,7 +19,9 @@
 EXIT_USAGE: typing.Final = 2
 
 # Flags that may be given without a value, spelled with underscores.
-BOOLEAN_FLAGS: typing.Final = frozenset({'__check_settings', '__no_wait'})
+BOOLEAN_FLAGS: typing.Final = frozenset(
+    {'__check_settings', '__json', '__no_wait'}
+)
 
 Parameters = typing.ParamSpec('Parameters')
 
--- a/filbertstep/_metrics.py
+++ b/filbertstep/_metrics.py
@@ -68,6 +68,12 @@
             ('operation', 'outcome'),
             registry=self.registry,
         )
+        self.explanations = prometheus_client.Counter(
+            'filbertstep_explanations',
+            'Questions about decisions by outcome of the decision or error.',
+            ('outcome',),
+            registry=self.registry,
+        )
         self.evidence_age = prometheus_client.Gauge(
             'filbertstep_evidence_age_seconds',
             'Age of the evidence that the known head is the newest.',
--- a/filbertstep/entry/__init__.py
+++ b/filbertstep/entry/__init__.py
@@ -23,6 +23,12 @@
 from filbertstep.entry._contracts import StoreFault as StoreFault
 from filbertstep.entry._contracts import StoreResult as StoreResult
 from filbertstep.entry._contracts import WireFormat as WireFormat
+from filbertstep.entry._explain import ComparisonDoc as ComparisonDoc
+from filbertstep.entry._explain import DEFAULT_METHOD as DEFAULT_METHOD
+from filbertstep.entry._explain import EXPLAIN_PATH as EXPLAIN_PATH
+from filbertstep.entry._explain import QuestionDoc as QuestionDoc
+from filbertstep.entry._explain import ReplyDoc as ReplyDoc
+from filbertstep.entry._explain import ReportDoc as ReportDoc
 from filbertstep.entry._load_exchange import LoadDoc as LoadDoc
 from filbertstep.entry._load_exchange import LoadExchange as LoadExchange
 from filbertstep.entry._load_exchange import loads_answer as loads_answer
--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -273,6 +273,7 @@
     ``body_memory_bytes`` that for the bodies of all unanswered requests, and
     ``answer_memory_bytes`` that for all answers that are being read.
     ``overload_order`` orders the requests that wait for a slot.
+    ``explains_per_s`` is the limit for explanations of decisions, 0 for none.
     """
 
     vm: str
@@ -294,6 +295,7 @@
     answer_memory_bytes: int
     bounds: steering.Bounds
     overload_order: steering.OverloadOrder = steering.OverloadOrder.AUTO
+    explains_per_s: float = 2.0
 
 
 class Platform(abc.ABC):
--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -12,8 +12,10 @@
 from filbertstep import _web
 from filbertstep import clock
 from filbertstep import codec
+from filbertstep import errors
 from filbertstep import steering
 from filbertstep.entry import _contracts
+from filbertstep.entry import _explain
 from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
 from filbertstep.entry import _report_exchange
@@ -53,11 +55,13 @@
         time_source: clock.Clock,
         log: _log.DecisionLog,
         report_exchange: _report_exchange.ReportExchange | None = None,
+        explainer: _explain.Explainer | None = None,
     ) -> None:
         self.state = state
         self.sync = sync
         self.store = store
         self.report_exchange = report_exchange
+        self.explainer = explainer
         self.clock = time_source
         self.log = log
         self.lease_renewals: set[asyncio.Task[None]] = set()
@@ -72,6 +76,8 @@
             return self.handle_loads()
         if request.path == _report_exchange.REPORTS_PATH:
             return self.handle_reports(await request.read())
+        if request.path == _explain.EXPLAIN_PATH:
+            return self.handle_explain(await request.read())
         return web.Response(status=404)
 
     def handle_knowledge(self, request: web.BaseRequest) -> web.Response:
@@ -122,6 +128,16 @@
             return web.Response(status=400)
         return _web.json_response(answer)
 
+    def handle_explain(self, body: bytes) -> web.Response:
+        """Explain a decision to an operator."""
+        explainer = self.explainer
+        if explainer is None or not explainer.is_enabled():
+            return web.Response(status=404)
+        answer = explainer.answer(body)
+        if isinstance(answer, errors.Failure):
+            return _web.error_response(answer)
+        return _web.json_response(answer)
+
     def handle_tokens(self, body: bytes) -> web.Response:
         """Give tokens of an account that this VM does not need to a peer."""
         decoded = codec.decode_open(body, TokensDoc)
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -21,6 +21,7 @@
 from filbertstep.entry import _callers
 from filbertstep.entry import _connections
 from filbertstep.entry import _contracts
+from filbertstep.entry import _explain
 from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
@@ -147,6 +148,7 @@
             self.clock,
             self.log,
             self.report_exchange,
+            _explain.Explainer(self.state, self.counters),
         )
         self.load_exchange = _load_exchange.LoadExchange(
             self.state, self.session, self.clock, self.log
--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -64,6 +64,9 @@
     overload_order: typing.NotRequired[
         typing.Literal['priority', 'cost', 'auto']
     ]
+    explains_per_s: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(ge=0, le=20)]
+    ]
 
 
 # Maximum number of log lines per second and kind.
@@ -76,6 +79,10 @@
 # Share of the memory for answers that are being read from servers.
 DEFAULT_ANSWER_MEMORY_SHARE: typing.Final = 0.2
 
+# Explanations of decisions per second.  Each takes some milliseconds, in which
+# the VM does not serve requests.
+DEFAULT_EXPLAINS_PER_S: typing.Final = 2.0
+
 BYTES_PER_MB: typing.Final = 1024 * 1024
 
 
@@ -148,5 +155,6 @@
             overload_order=steering.OverloadOrder(
                 doc.get('overload_order', steering.OverloadOrder.AUTO.value)
             ),
+            explains_per_s=doc.get('explains_per_s', DEFAULT_EXPLAINS_PER_S),
         )
     )
--- a/filbertstep/steering/__init__.py
+++ b/filbertstep/steering/__init__.py
@@ -5,6 +5,9 @@
 """
 
 from filbertstep.steering._allowance import RetryBudget as RetryBudget
+from filbertstep.steering._comparisons import compare_all as compare_all
+from filbertstep.steering._comparisons import FullComparison as FullComparison
+from filbertstep.steering._comparisons import Reason as Reason
 from filbertstep.steering._directory import nearest_members as nearest_members
 from filbertstep.steering._load_reports import LoadReport as LoadReport
 from filbertstep.steering._load_reports import parse_load as parse_load
@@ -40,6 +43,9 @@
 from filbertstep.steering._shared_reports import apply_reports as apply_reports
 from filbertstep.steering._shared_reports import ReportLog as ReportLog
 from filbertstep.steering._shared_reports import ServerReport as ServerReport
+from filbertstep.steering._snapshots import copy_balancer as copy_balancer
+from filbertstep.steering._snapshots import copy_quotas as copy_quotas
+from filbertstep.steering._snapshots import take_snapshot as take_snapshot
 from filbertstep.steering._waiting import reserve_slot as reserve_slot
 from filbertstep.steering._waiting import WaitingRequest as WaitingRequest
 from filbertstep.steering._waiting import WaitQueue as WaitQueue
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -18,6 +18,7 @@
 from filbertstep import caller
 from filbertstep import ctl
 from filbertstep import demo
+from filbertstep import explain
 from filbertstep import node
 from filbertstep import settings
 from filbertstep import standins
@@ -28,6 +29,7 @@
     'filbertstep-ctl': ctl.main,
     'filbertstep-call': caller.main,
     'filbertstep-demo': demo.main,
+    'filbertstep-explain': explain.main,
     'filbertstep-standin-store': standins.store_main,
     'filbertstep-standin-vms': standins.vms_main,
     'filbertstep-standin-backend': standins.backend_main,
