--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -20,6 +20,8 @@
 from filbertstep import steering
 from filbertstep.entry import _explain
 from filbertstep.entry import _messages
+from filbertstep.entry import _peers
+from filbertstep.platform import _settings
 from tests import entry_samples
 from tests import steering_samples as samples
 from tests import test_entry_program
@@ -173,7 +175,9 @@
         self.system.attempt_sender.forwarder = self.holding
         self.state.set_settings(
             entry_samples.settings(
-                bounds=samples.BOUNDS._replace(rate_slack_tokens=1.0),
+                bounds=samples.BOUNDS._replace(
+                    rate_slack_tokens=1.0, max_shift_share=0.5
+                ),
                 overload_order=self.rng.choice(tuple(steering.OverloadOrder)),
             )
         )
@@ -185,13 +189,13 @@
             },
             accounts=ACCOUNTS,
         )
-        for _ in range(12):
+        for _ in range(24):
             self.change_server()
 
     def change_server(self) -> None:
         """Let a server join, leave, pause, become cold or busy."""
         rng, now = self.rng, self.clock.now()
-        server_id = f's{rng.randrange(14)}'
+        server_id = f's{rng.randrange(24)}'
         server = self.state.servers.by_id.get(server_id)
         change = rng.randrange(8)
         if server is None or change == 0:
@@ -222,6 +226,9 @@
                 self.state.servers.end_evacuation(zone, now, {})
             else:
                 self.state.servers.evacuate(zone)
+        elif change == 7 and rng.random() < 0.15:
+            for paused in self.state.servers.by_id.values():
+                paused.announcements.request_pause(0.2, now)
 
     async def settle(self) -> None:
         """Let all tasks run until they wait."""
@@ -300,6 +307,12 @@
         wait = report['wait']
         if wait is not None:
             return f'wait by {wait["order"]}'
+        region = report['region']
+        if report['outcome'] == 'send' and region is not None:
+            assert report['server'] is not None
+            server = self.state.servers.by_id[report['server']]
+            if region['region'] not in (None, server.region):
+                return 'send by overflow'
         if report['reply'] is not None:
             return f'{report["outcome"]} {report["reply"]["message"]}'
         return report['outcome']
@@ -426,6 +439,7 @@
                 await asyncio.gather(*self.tasks, return_exceptions=True)
         for outcome, least in (
             ('send', 100),
+            ('send by overflow', 5),
             ('wait by cost', 10),
             ('wait by priority', 10),
             ('reject no slot becomes free in time', 5),
@@ -664,10 +678,41 @@
         (line,) = self.log_lines('explain')
         self.assertEqual((line['account'], line['outcome']), ('acme', 'send'))
 
-    async def test_no_explanations_by_the_settings(self) -> None:
-        """Guards against a setting that does not turn explanations off."""
+    async def test_the_setting_is_checked(self) -> None:
+        """Guards against a limit that is not read, or is out of range."""
+        text = adapter_tests.render_settings({})
+        for value, expected in ((None, 2.0), (0, 0.0), (7.5, 7.5)):
+            with self.subTest(value=value):
+                loaded = _settings.parse_settings(with_limit(text, value))
+                self.assertEqual(loaded.unwrap().explains_per_s, expected)
+        for wrong in (-1, 21, 'many'):
+            with self.subTest(wrong=wrong):
+                loaded = _settings.parse_settings(with_limit(text, wrong))
+                self.assertIn('explains_per_s', loaded.unwrap_err())
+
+    async def test_statuses_of_the_peer_port(self) -> None:
+        """Guards against a limit or a setting that the port ignores."""
+        listener = _peers.PeerListener(
+            self.state,
+            typing.cast(typing.Any, None),
+            typing.cast(typing.Any, None),
+            self.clock,
+            self.log,
+            explainer=self.explainer,
+        )
+        body = b'{"host":"shop.example","path":"/orders/1"}'
+        self.assertEqual(listener.handle_explain(b'{}').status, 400)
+        self.assertEqual(listener.handle_explain(body).status, 200)
+        self.assertEqual(listener.handle_explain(body).status, 429)
         self.state.set_settings(entry_samples.settings(explains_per_s=0.0))
-        self.assertFalse(self.explainer.is_enabled())
+        self.assertEqual(listener.handle_explain(body).status, 404)
+
+
+def with_limit(text: str, value: object) -> str:
+    """Return the text of settings with a limit of explanations."""
+    if value is None:
+        return text
+    return text.replace('{', f'{{explains_per_s: {json.dumps(value)},', 1)
 
 
 def run_command(*arguments: str) -> tuple[int, str, str]:
