--- a/filbertstep/entry/_contracts.py
+++ b/filbertstep/entry/_contracts.py
@@ -277,6 +277,7 @@
     ``unread_memory_bytes`` for answers that callers have not read,
     ``connection_memory_bytes`` for callers' connections, which may take
     ``connection_share`` of the process's descriptors.
+    ``explains_per_s`` is the limit for explanations of decisions, 0 for none.
     """
 
     vm: str
@@ -302,6 +303,7 @@
     connection_share: float
     bounds: steering.Bounds
     overload_order: steering.OverloadOrder = steering.OverloadOrder.AUTO
+    explains_per_s: float = 2.0
 
 
 class Platform(abc.ABC):
--- a/filbertstep/platform/_settings.py
+++ b/filbertstep/platform/_settings.py
@@ -76,6 +76,9 @@
     overload_order: typing.NotRequired[
         typing.Literal['priority', 'cost', 'auto']
     ]
+    explains_per_s: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(ge=0, le=20)]
+    ]
 
 
 # Maximum number of log lines per second and kind.
@@ -99,6 +102,10 @@
 # to servers, peers and the store.
 DEFAULT_CONNECTION_SHARE: typing.Final = 0.375
 
+# Explanations of decisions per second.  Each takes some milliseconds, in which
+# the VM does not serve requests.
+DEFAULT_EXPLAINS_PER_S: typing.Final = 2.0
+
 BYTES_PER_MB: typing.Final = 1024 * 1024
 
 
@@ -189,5 +196,6 @@
             overload_order=steering.OverloadOrder(
                 doc.get('overload_order', steering.OverloadOrder.AUTO.value)
             ),
+            explains_per_s=doc.get('explains_per_s', DEFAULT_EXPLAINS_PER_S),
         )
     )
