--- a/filbertstep/entry/_load_exchange.py
+++ b/filbertstep/entry/_load_exchange.py
@@ -16,6 +16,7 @@
 from filbertstep import clock
 from filbertstep import steering
 from filbertstep.entry import _log
+from filbertstep.entry import _peer_errors
 from filbertstep.entry import _state
 
 LOADS_PATH: typing.Final = '/loads'
@@ -92,13 +93,7 @@
         """Ask a VM for the loads of its region, and record them."""
         try:
             loads = await self.fetch(peer.peers)
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            ValueError,
-            RecursionError,
-        ) as error:
+        except _peer_errors.PEER_ERRORS as error:
             self.log.write(
                 'loads_failed', peer=peer.peers, error=type(error).__name__
             )
--- a/filbertstep/entry/_peers.py
+++ b/filbertstep/entry/_peers.py
@@ -18,6 +18,7 @@
 from filbertstep.entry import _explain
 from filbertstep.entry import _load_exchange
 from filbertstep.entry import _log
+from filbertstep.entry import _peer_errors
 from filbertstep.entry import _report_exchange
 from filbertstep.entry import _state
 from filbertstep.entry import _sync
@@ -310,13 +311,7 @@
                     return 0.0
                 body = await response.read()
             answer = msgspec.json.decode(body, type=TokensDoc)
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            ValueError,
-            RecursionError,
-        ) as error:
+        except _peer_errors.PEER_ERRORS as error:
             self.log.write(
                 'tokens_failed', peer=peer, error=type(error).__name__
             )
--- a/filbertstep/entry/_report_exchange.py
+++ b/filbertstep/entry/_report_exchange.py
@@ -15,6 +15,7 @@
 from filbertstep import metrics
 from filbertstep import steering
 from filbertstep.entry import _log
+from filbertstep.entry import _peer_errors
 from filbertstep.entry import _state
 
 REPORTS_PATH: typing.Final = '/reports'
@@ -206,13 +207,7 @@
         }
         try:
             answer = await self.send(collector.peers, doc)
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            ValueError,
-            RecursionError,
-        ) as error:
+        except _peer_errors.PEER_ERRORS as error:
             self.counters.events.labels('reports_failed').inc()
             self.log.write(
                 'reports_failed',
