Keep a request before which nothing waits until its latest start

In the order by cost, a request counted as without a chance once half of its own work no longer fitted before its latest start, although the next slot that became free was its own.

--- a/filbertstep/steering/_overload.py
+++ b/filbertstep/steering/_overload.py
@@ -35,7 +35,7 @@
 WEIGHTS: typing.Final = tuple(0.5**rank for rank in range(MAX_RANK + 1))
 
 # The weight of a request doubles after this wait, triples after twice that.
-# With 1 s, old late requests took slots from urgent ones.
+# A shorter time lets old late requests take slots from urgent ones.
 AGING_S: typing.Final = 4.0
 
 # A route or an account of which no request was dispatched for this time, while
@@ -393,7 +393,13 @@
         if (
             len(late) >= room
             or left_s <= 0.0
-            or total_s + 0.5 * request.work_s > CHANCE_FACTOR * left_s * slots
+            # Without work before it, the next slot that becomes free is its
+            # own, and that may be at any moment.
+            or (
+                total_s > 0.0
+                and total_s + 0.5 * request.work_s
+                > CHANCE_FACTOR * left_s * slots
+            )
         ):
             rejected.append(index)
         else:
--- a/tests/test_steering_overload.py
+++ b/tests/test_steering_overload.py
@@ -66,6 +66,20 @@
         self.assertEqual(set(plan_order(requests, plan)[:8]), {*range(12, 20)})
         self.assertEqual(plan.rejected, [])
 
+    def test_the_first_request_waits_until_its_latest_start(self) -> None:
+        """Guards against rejecting a request before which nothing waits.
+
+        The next free slot is its own, whatever its work; a second one has to
+        wait for that work.
+        """
+        read = cost(work_s=2.0, due=0.3, latest_start=0.3)
+        plan = _overload.make_plan([read], 3.0, 0.29)
+        self.assertEqual((plan.late, plan.rejected), ([0], []))
+        plan = _overload.make_plan([read, read], 3.0, 0.29)
+        self.assertEqual((plan.late, plan.rejected), ([0], [1]))
+        plan = _overload.make_plan([read], 3.0, 0.31)
+        self.assertEqual(plan.rejected, [0])
+
     def test_least_weight_for_work_is_late(self) -> None:
         """Requests beyond the capacity: the cheapest for callers are late."""
         requests = [cost(priority=2) for _ in range(6)]
