--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -342,6 +342,7 @@
             zip(('front', 'ready', 'control', 'directory'), ports, strict=False)
         )
         self.metrics_port = ports[4]
+        self.settings_path = deployment.folder / f'{name}.json5'
         self.starts = 0
         self.process = None
 
@@ -372,8 +373,7 @@
 
     async def start(self):
         """Start the process; it need not be ready yet."""
-        path = self.deployment.folder / f'{self.name}.json5'
-        path.write_text(self.render_settings())
+        self.settings_path.write_text(self.render_settings())
         self.starts += 1
         deploy = (ROOT / 'deploy/system.toml').read_text()
         command = re.search(r'^run = "(.*)"$', deploy, re.MULTILINE)[1]
@@ -389,7 +389,7 @@
                     'HOME': os.environ.get('HOME', '/'),
                     'PYTHONPATH': str(ROOT / 'target/deps'),
                     'PYTHONDONTWRITEBYTECODE': '1',
-                    'FILBERTSTEP_NODE_FILE': str(path),
+                    'FILBERTSTEP_NODE_FILE': str(self.settings_path),
                 },
             )
 
@@ -448,9 +448,10 @@
     idempotent.  ``timeout_ms`` is that of both routes.
     """
 
-    def __init__(self, timeout_ms=2000, memory_mb=300):
+    def __init__(self, timeout_ms=2000, memory_mb=300, server_type=Server):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.timeout_ms = timeout_ms
+        self.server_type = server_type
         self.store = Store()
         self.servers = []
         self.vm = Vm(self, 'front-hobart-a-1', memory_mb)
@@ -514,7 +515,7 @@
         await self.store.start()
         self.store.put('op/config', json.dumps(self.configuration()).encode())
         for number in range(servers):
-            server = Server(self, number, slots, work)
+            server = self.server_type(self, number, slots, work)
             await server.start()
             self.servers.append(server)
         await self.vm.start()
