Keep the ports of the review's scripts apart from the kernel's

Cause: the ports for a VM were taken from those that the kernel gives to the next listener, which may be a stand-in's.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -22,6 +23,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 HOST = '127.0.0.1'
+PORTS = range(20000, 32000)
 KEY = 'b9wu3fexd9dnn2ctnfzs'
 TENANT = 'kaje80'
 SERVICE = 'huvo11a'
@@ -66,14 +68,22 @@
 
 
 def free_ports(count):
-    """Return unused ports of the loopback interface."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return unused ports of the loopback interface.
+
+    They are below those that the kernel gives to connections and to the
+    listeners of the stand-ins.
+    """
+    ports = []
+    for port in random.sample(PORTS, len(PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CannotRunError('no ports are free')
 
 
 async def read_head(reader):
