--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -55,7 +55,7 @@
 
 
 class Record:
-    """Writes ``record.txt`` and standard output; times count from the start."""
+    """Writes ``record.txt`` and standard output, with times from the start."""
 
     def __init__(self, folder):
         self.began_at = time.monotonic()
@@ -91,7 +91,9 @@
     head = await reader.readuntil(b'\r\n\r\n')
     lines = head[:-4].decode('latin-1').split('\r\n')
     pairs = (line.partition(':') for line in lines[1:])
-    return lines[0], [(name.lower(), value.strip()) for name, _, value in pairs]
+    return lines[0], [
+        (name.lower(), value.strip()) for name, _, value in pairs
+    ]
 
 
 async def read_body(reader, headers):
@@ -111,7 +113,11 @@
 async def read_answer(reader):
     """Return status, headers and body of an answer."""
     line, headers = await read_head(reader)
-    return int(line.split(' ')[1]), dict(headers), await read_body(reader, headers)
+    return (
+        int(line.split(' ')[1]),
+        dict(headers),
+        await read_body(reader, headers),
+    )
 
 
 def request(method, path, request_id, body=None, deadline_ms=4000):
@@ -133,7 +139,8 @@
     """Return the bytes of a server's answer."""
     head = (
         f'HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n'
-        f'X-Server-Seal: seal.{request_id}\r\nContent-Length: {len(body)}\r\n\r\n'
+        f'X-Server-Seal: seal.{request_id}\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
     )
     return head.encode() + body
 
@@ -204,7 +211,8 @@
                 writer.write(
                     f'HTTP/1.1 {status} Status\r\n'
                     'Content-Type: application/json\r\n'
-                    f'Content-Length: {len(text)}\r\n\r\n'.encode() + text
+                    f'Content-Length: {len(text)}\r\n\r\n'.encode()
+                    + text
                 )
                 await writer.drain()
         except SERVING_ENDS:
@@ -349,7 +357,9 @@
         self.memory_mb = memory_mb
         ports = free_ports(5)
         self.ports = dict(
-            zip(('front', 'ready', 'control', 'directory'), ports, strict=False)
+            zip(
+                ('front', 'ready', 'control', 'directory'), ports, strict=False
+            )
         )
         self.metrics_port = ports[4]
         self.settings_path = deployment.folder / f'{name}.json5'
@@ -557,7 +567,7 @@
         finally:
             await deployment.stop()
 
-    loop_signal = signal.getsignal(signal.SIGTERM)
+    former_handler = signal.getsignal(signal.SIGTERM)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(run())
@@ -565,6 +575,6 @@
         record.write(f'the case could not run: {error!r}')
         sys.exit(2)
     finally:
-        signal.signal(signal.SIGTERM, loop_signal)
+        signal.signal(signal.SIGTERM, former_handler)
     record.write('the rule held' if held else 'THE RULE WAS BROKEN')
     sys.exit(0 if held else 1)
