Log what was known of the server of a request that a stop cuts off

Cause: a request that the exit of a stopping VM cuts off has no `try` line, as its attempt has no outcome. The logs could not tell apart whether the VM did not know how many requests waited at the server, knew it and passed the request on all the same, or got the answer too late to deliver it.

Change: `request_cut` names the server of the newest attempt, when it was sent, the requests that were believed to be ahead there, the age of the newest load report, and the longest time that the answer was expected to take.

--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -374,12 +374,32 @@
                 id=request.request_id,
                 sent=self.request_handler.is_sent(request.request_id),
                 age_s=round(self.clock.now() - request.arrived_at, 3),
+                **self.attempt_fields(request.request_id),
             )
         self.log.write('stopped', **self.stop_fields(caller_server))
         for task in [*self.tasks, deregistration]:
             task.cancel()
         self.log.flush()
 
+    def attempt_fields(self, request_id: str) -> dict[str, _log.FieldValue]:
+        """Return the log fields of a request's attempt without an outcome."""
+        attempt = self.request_handler.attempt_sender.newest_attempt(
+            request_id
+        )
+        if attempt is None:
+            return {}
+        return {
+            'server': attempt.candidate.server.entry.server_id,
+            'sent_after_s': round(
+                attempt.sent_at - self.state.stop.begun_at, 3
+            ),
+            'ahead': round(attempt.requests_ahead, 2),
+            'load_age_s': round(attempt.load_age_s, 3)
+            if attempt.load_age_s != float('inf')
+            else None,
+            'longest_s': round(attempt.candidate.longest_s, 3),
+        }
+
     def stop_fields(
         self, caller_server: _connections.CallerServer
     ) -> dict[str, _log.FieldValue]:
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -37,6 +37,20 @@
     outcome: delivery.ForwardOutcome
 
 
+class RunningAttempt(typing.NamedTuple):
+    """An attempt without an outcome, and what was known when it was sent.
+
+    ``requests_ahead`` is the estimated number of other requests at the
+    server.  ``load_age_s`` is the age in seconds of the server's newest load
+    report, infinite if there was none.
+    """
+
+    candidate: steering.Candidate
+    sent_at: float
+    requests_ahead: float
+    load_age_s: float
+
+
 class AttemptSender:
     """Sends requests to the backend servers on which slots are reserved."""
 
@@ -68,6 +82,8 @@
         )
         # Ids of non-idempotent requests that were sent and have not ended.
         self.non_idempotent_in_flight: set[str] = set()
+        # Attempts without an outcome by request id, oldest first.
+        self.running: dict[str, list[RunningAttempt]] = {}
 
     async def run(
         self,
@@ -210,17 +226,38 @@
         )
         if not admitted.route.idempotent:
             self.non_idempotent_in_flight.add(attempt.request_id)
+        running = RunningAttempt(
+            candidate,
+            sent_at,
+            # The slot of this attempt is reserved already.
+            max(0.0, server.estimated_requests(sent_at) - 1.0),
+            sent_at - server.load_reported_at,
+        )
+        self.running.setdefault(attempt.request_id, []).append(running)
         try:
             outcome = await self.forwarder.send(
                 attempt, lambda: self.check_pause(server)
             )
         finally:
             self.non_idempotent_in_flight.discard(attempt.request_id)
+            self.forget_running(attempt.request_id, running)
         self.record_outcome(
             admitted, query, candidate, outcome, sent_at, len(body)
         )
         return FinishedAttempt(candidate, outcome)
 
+    def forget_running(self, request_id: str, running: RunningAttempt) -> None:
+        """Remove an attempt that has ended."""
+        attempts = self.running[request_id]
+        attempts.remove(running)
+        if not attempts:
+            del self.running[request_id]
+
+    def newest_attempt(self, request_id: str) -> RunningAttempt | None:
+        """Return the newest attempt without an outcome, None without any."""
+        attempts = self.running.get(request_id)
+        return attempts[-1] if attempts else None
+
     def check_pause(
         self, server: steering.ServerRecord
     ) -> errors.Failure | None:
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -194,6 +194,8 @@
         # Estimate of the requests of other VMs at the server, and its time.
         self.other_vm_requests = 0.0
         self.other_vm_requests_at = now
+        # Time of the newest load report, of whatever VM.
+        self.load_reported_at = float('-inf')
         # Times of last use by object, least recently used first.
         self.cached_objects: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -248,6 +250,7 @@
         this VM's requests in progress.
         """
         reported = max(0, running + waiting - self.in_progress)
+        self.load_reported_at = now
         self.update_other_vm_requests(reported, LOAD_REPORT_WEIGHT, now)
 
     def record_shared_load(
@@ -259,6 +262,7 @@
         others loses its weight with its age.
         """
         reported = max(0, running + waiting - 1 - self.in_progress)
+        self.load_reported_at = max(self.load_reported_at, reported_at)
         age_s = max(0.0, now - reported_at)
         weight = LOAD_REPORT_WEIGHT * 0.5 ** (age_s / LOAD_REPORT_HALF_LIFE_S)
         self.update_other_vm_requests(reported, weight, now)
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -243,3 +243,5 @@
         self.assertEqual((await self.finish())['running'], 1)
         (line,) = [row for row in self.output if row['kind'] == 'request_cut']
         self.assertEqual((line['id'], line['sent']), ('cut', True))
+        self.assertEqual((line['server'], line['ahead']), ('i-1', 0))
+        self.assertIsNone(line['load_age_s'])
