Answer before the exit what a stopping VM has passed on

An order may run once only, so its caller can neither repeat it nor know.

Cause: the stop bounded what it admits by an estimate of the time to the answer, and nothing bounded what was passed on once the estimate was wrong. The estimate is wrong whenever the VM does not know how long the queue of a server is.

Change: the stop bounds each attempt. A server is told to end its run by the time at which the process used to exit (0.97 of the stop timeout); it rejects what waits there until then as not run, and the caller gets 503 and may go to another VM. At 0.98 the VM answers 504 (the new kind `interrupted`, which may have run) to what has no answer, also to requests sent before the signal and to servers that ignore their time. The exit at 0.99 leaves time to deliver these. Nothing is refused or ended sooner than before.

Why it works: it needs no knowledge of queues. The server itself decides what it has not begun, and the VM's own answer does not depend on the server at all.

--- a/filbertstep/_errors.py
+++ b/filbertstep/_errors.py
@@ -37,6 +37,7 @@
     BACKEND_FAILED = 'backend_failed'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
+    INTERRUPTED = 'interrupted'
     INTERNAL = 'internal'
 
 
@@ -120,6 +121,7 @@
     ErrorKind.DEADLINE_EXCEEDED: Answer(
         504, Ran.UNKNOWN, Retry.IDEMPOTENT_ONLY
     ),
+    ErrorKind.INTERRUPTED: Answer(504, Ran.UNKNOWN, Retry.IDEMPOTENT_ONLY),
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, Retry.IDEMPOTENT_ONLY),
 }
 
--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -203,14 +203,32 @@
     """
 
 
+class AttemptLimits:
+    """Times on the event loop by which all attempts end.
+
+    Servers are told to end their runs at ``run_end``.  An attempt without a
+    response, or with an incomplete one that is not streamed, ends at
+    ``response_end``.
+    """
+
+    def __init__(self) -> None:
+        self.run_end = float('inf')
+        self.response_end = float('inf')
+
+
 class AttemptState:
     """State of one attempt in progress."""
 
     def __init__(
-        self, before_send: BeforeSend, deadline: float, request_id: str
+        self,
+        before_send: BeforeSend,
+        deadline: float,
+        request_id: str,
+        limits: 'AttemptLimits',
     ) -> None:
         self.before_send = before_send
         self.request_id = request_id
+        self.limits = limits
         # Event loop time at which the attempt ends.
         self.deadline = deadline
         self.sent = False
@@ -231,7 +249,8 @@
         # The server counts its time from now on.  Time spent waiting for the
         # connection is subtracted, so that the request does not run longer
         # than its slot is held.
-        left_s = self.deadline - asyncio.get_running_loop().time()
+        run_end = min(self.deadline, self.limits.run_end)
+        left_s = run_end - asyncio.get_running_loop().time()
         if left_s <= 0:
             raise TimeoutError
         request.headers['X-Deadline-Ms'] = str(max(1, int(left_s * 1000)))
@@ -732,6 +751,7 @@
         self.skip_mismatched_responses = skip_mismatched_responses
         self.buffer_memory = BufferMemory(buffer_bytes)
         self.session: aiohttp.ClientSession | None = None
+        self.limits = AttemptLimits()
         self.in_flight: dict[str, AttemptState] = {}
         self.open_streams: dict[str, ResponseStream] = {}
 
@@ -784,6 +804,22 @@
         state.timeout_scope.reschedule(asyncio.get_running_loop().time())
         return True
 
+    def limit_attempts(self, run_end: float, response_end: float) -> None:
+        """End all attempts, also those in progress, by an event loop time.
+
+        The fields of ``AttemptLimits`` have these names.  What a server was
+        told before stays in force there.
+        """
+        self.limits.run_end = run_end
+        self.limits.response_end = response_end
+        for state in self.in_flight.values():
+            scope = state.timeout_scope
+            if scope is None or scope.expired():
+                continue
+            ends_at = scope.when()
+            if ends_at is not None and ends_at > response_end:
+                scope.reschedule(response_end)
+
     def has_sent(self, request_id: str) -> bool:
         """Return whether an attempt in progress was sent to its server."""
         state = self.in_flight.get(request_id)
@@ -804,11 +840,14 @@
             before_send,
             loop.time() + attempt.time_left_s,
             attempt.request_id,
+            self.limits,
         )
         token = CURRENT_ATTEMPT.set(state)
         self.in_flight[attempt.request_id] = state
         try:
-            async with asyncio.timeout_at(state.deadline) as timeout_scope:
+            async with asyncio.timeout_at(
+                min(state.deadline, self.limits.response_end)
+            ) as timeout_scope:
                 state.timeout_scope = timeout_scope
                 return await self.exchange(attempt, state)
         except TimeoutError:
--- a/filbertstep/_trace.py
+++ b/filbertstep/_trace.py
@@ -46,6 +46,7 @@
     'not_found': 'version of this line; configuration lines',
     'backend_failed': 'the last try line: outcome and message',
     'deadline_exceeded': 'the last try line: server, estimate_s and took_s',
+    'interrupted': 'the interrupted and stop lines of the VM',
     'server_failed': 'the last try line: the server answered this itself',
 }
 
--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -30,6 +30,7 @@
 from filbertstep.entry import _report_exchange
 from filbertstep.entry import _requests
 from filbertstep.entry import _state
+from filbertstep.entry import _stopping
 from filbertstep.entry import _strikes
 from filbertstep.entry import _supervision
 from filbertstep.entry import _sync
@@ -338,11 +339,14 @@
 
     def request_stop(self) -> None:
         """Begin a planned stop; its times count from the signal."""
-        self.state.stop.begin(
-            self.clock.now(), self.settings.bounds.stop_grace_s
-        )
+        stop, now = self.state.stop, self.clock.now()
+        stop.begin(now, self.settings.bounds.stop_grace_s)
         self.state.wait_queue.limit_waits(
-            self.state.stop.exits_at - _requests.MIN_ATTEMPT_S
+            stop.runs_until - _requests.MIN_ATTEMPT_S
+        )
+        loop_offset_s = asyncio.get_running_loop().time() - now
+        self.forwarder.limit_attempts(
+            stop.runs_until + loop_offset_s, stop.answers_until + loop_offset_s
         )
         self.stop_requested.set()
 
@@ -364,10 +368,18 @@
             listener.close()
         self.log.write('refusing', **self.stop_fields(caller_server))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(stop.exits_at - self.clock.now()):
+            async with asyncio.timeout(stop.answers_until - self.clock.now()):
                 await caller_server.drain(DRAIN_POLL_INTERVAL_S)
                 # Nobody else knows the strikes of the last second.
                 await self.strike_writer.write_changes()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                max(
+                    _stopping.MIN_DELIVERY_S,
+                    stop.exits_at - self.clock.now(),
+                )
+            ):
+                await caller_server.drain(DRAIN_POLL_INTERVAL_S)
         for request in running:
             self.log.write(
                 'request_cut',
@@ -388,17 +400,7 @@
         )
         if attempt is None:
             return {}
-        return {
-            'server': attempt.candidate.server.entry.server_id,
-            'sent_after_s': round(
-                attempt.sent_at - self.state.stop.begun_at, 3
-            ),
-            'ahead': round(attempt.requests_ahead, 2),
-            'load_age_s': round(attempt.load_age_s, 3)
-            if attempt.load_age_s != float('inf')
-            else None,
-            'longest_s': round(attempt.candidate.longest_s, 3),
-        }
+        return attempt.log_fields(self.state.stop.begun_at)
 
     def stop_fields(
         self, caller_server: _connections.CallerServer
@@ -410,6 +412,7 @@
             'running': len(self.caller_listener.running),
             'connections': len(caller_server.connections),
             'refused': self.request_handler.stop_refusals,
+            'interrupted': self.request_handler.stop_interruptions,
         }
 
 
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -75,6 +75,8 @@
         self.request_peer_tokens = request_peer_tokens
         # Requests refused because this VM stops.
         self.stop_refusals = 0
+        # Requests without an answer of a server when this VM exits.
+        self.stop_interruptions = 0
         self.overloads = steering.OverloadTable()
 
     def has_non_idempotent_in_flight(self, request_id: str) -> bool:
@@ -461,7 +463,7 @@
 
     def before_exit(self, wait_until: float) -> float:
         """Return ``wait_until``, or the last useful time before the exit."""
-        return min(wait_until, self.state.stop.exits_at - MIN_ATTEMPT_S)
+        return min(wait_until, self.state.stop.runs_until - MIN_ATTEMPT_S)
 
     def can_finish(
         self,
@@ -476,7 +478,7 @@
         """
         return (
             min(now + candidate.longest_s, admitted.deadline)
-            < self.state.stop.exits_at
+            < self.state.stop.runs_until
         )
 
     def find_candidate(
@@ -522,6 +524,9 @@
     ) -> _messages.Reply:
         """Return the failure reply for a request that no server can take."""
         pause_s = self.remaining_pause_s(admitted, now)
+        if pause_s <= 0.0 and self.state.stop.interrupts(admitted.deadline):
+            # Other VMs have more time for the same servers.
+            return self.refuse_stopping()
         if not 0.0 < pause_s < float('inf'):
             return _messages.failure_reply(
                 ErrorKind.NO_ROOM,
@@ -660,6 +665,13 @@
                 ),
             )
         last = attempts[-1].outcome
+        if last.kind is OutcomeKind.TIMED_OUT and self.state.stop.interrupts(
+            admitted.deadline
+        ):
+            self.stop_interruptions += 1
+            return _messages.failure_reply(
+                ErrorKind.INTERRUPTED, 'this VM stops before an answer'
+            )
         if last.kind is OutcomeKind.TIMED_OUT:
             return _messages.failure_reply(
                 ErrorKind.DEADLINE_EXCEEDED, 'no answer within the time'
--- a/filbertstep/entry/_stopping.py
+++ b/filbertstep/entry/_stopping.py
@@ -24,9 +24,16 @@
 # Upper limit for the accepting time as a fraction of the stop timeout.
 MAX_ACCEPTING_FRACTION: typing.Final = 0.46
 
-# Fraction of the stop timeout after which the process exits even if requests
-# still run.
-FORCED_EXIT_FRACTION: typing.Final = 0.97
+# Fractions of the stop timeout: when servers must have answered, when this VM
+# answers in their place, and when the process exits whatever still runs.  The
+# first difference lets a server report that it did not run a request, the
+# second lets callers get the answers.
+RUNS_FRACTION: typing.Final = 0.97
+ANSWERS_FRACTION: typing.Final = 0.98
+FORCED_EXIT_FRACTION: typing.Final = 0.99
+
+# Time to deliver the last answers even if the event loop is late.
+MIN_DELIVERY_S: typing.Final = 0.05
 
 
 class Phase(enum.StrEnum):
@@ -60,13 +67,16 @@
 class Stop:
     """The planned stop of this VM; times are those of its clock.
 
-    Requests are accepted until ``accepts_until``.  The process exits at
-    ``exits_at`` at the latest.
+    Requests are accepted until ``accepts_until``.  Servers are told to end
+    their runs by ``runs_until``.  What has no answer at ``answers_until`` is
+    answered by this VM.  The process exits at ``exits_at`` at the latest.
     """
 
     def __init__(self) -> None:
         self.begun_at = float('inf')
         self.accepts_until = float('inf')
+        self.runs_until = float('inf')
+        self.answers_until = float('inf')
         self.exits_at = float('inf')
 
     def begin(self, now: float, stop_timeout_s: float) -> None:
@@ -77,8 +87,14 @@
         self.accepts_until = now + min(
             ACCEPTING_S, MAX_ACCEPTING_FRACTION * stop_timeout_s
         )
+        self.runs_until = now + RUNS_FRACTION * stop_timeout_s
+        self.answers_until = now + ANSWERS_FRACTION * stop_timeout_s
         self.exits_at = now + FORCED_EXIT_FRACTION * stop_timeout_s
 
+    def interrupts(self, deadline: float) -> bool:
+        """Return whether the stop ends before a request's own deadline."""
+        return self.answers_until < deadline
+
     def phase(self, now: float) -> Phase:
         """Return the phase at a time."""
         if now < self.begun_at:
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -8,6 +8,7 @@
 from filbertstep import metrics
 from filbertstep import steering
 from filbertstep.entry import _contracts
+from filbertstep.entry import _log
 from filbertstep.entry import _messages
 from filbertstep.entry import _report_exchange
 from filbertstep.entry import _state
@@ -50,6 +51,18 @@
     requests_ahead: float
     load_age_s: float
 
+    def log_fields(self, stop_begun_at: float) -> dict[str, _log.FieldValue]:
+        """Return the fields of a log line on what a stop ended."""
+        return {
+            'server': self.candidate.server.entry.server_id,
+            'sent_after_s': round(self.sent_at - stop_begun_at, 3),
+            'ahead': round(self.requests_ahead, 2),
+            'load_age_s': round(self.load_age_s, 3)
+            if self.load_age_s != float('inf')
+            else None,
+            'longest_s': round(self.candidate.longest_s, 3),
+        }
+
 
 class AttemptSender:
     """Sends requests to the backend servers on which slots are reserved."""
@@ -153,7 +166,7 @@
         hedge_candidate = self.state.placement.best_candidate(hedge_query, now)
         if hedge_candidate is None or not hedge_candidate.can_send_now:
             return None
-        latest_end = min(admitted.deadline, self.state.stop.exits_at)
+        latest_end = min(admitted.deadline, self.state.stop.runs_until)
         if latest_end - now < hedge_candidate.estimate_s:
             return None
         if not self.state.retry_budget.try_take(admitted.service, now):
@@ -244,6 +257,16 @@
         self.record_outcome(
             admitted, query, candidate, outcome, sent_at, len(body)
         )
+        if (
+            outcome.kind is OutcomeKind.TIMED_OUT
+            and self.state.stop.interrupts(admitted.deadline)
+        ):
+            self.counters.events.labels('attempt_interrupted').inc()
+            self.state.log.write(
+                'interrupted',
+                id=attempt.request_id,
+                **running.log_fields(self.state.stop.begun_at),
+            )
         return FinishedAttempt(candidate, outcome)
 
     def forget_running(self, request_id: str, running: RunningAttempt) -> None:
