Expect queues of servers to last when a stop decides on a request

What callers saw: a stopping VM passed requests on to servers whose queues outlasted its exit, although other VMs could have served them.

Cause: the longest time to an answer, by which a stopping VM decides, took its wait from the figure that chooses servers. That figure is made to be optimistic: it halves every 1.5 s, so that a server that was full is tried again; a server without a report has no queue; and each request ahead counts as one whose object is cached. In a stop the reports only become fewer, and a VM under load comes to the servers that it has not used before, because nothing is known of them.

Change: for the longest time, a reported queue lasts 4 s. A server without a recent report counts as busy as the servers of its service that reported lately. Requests ahead take the mean time of the service, or an uncached run as long as none is known. The choice of servers outside stops is unchanged.

The plain placement of TestSameDecisions has the new figure.

--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -340,8 +340,7 @@
         load_report = find_header(outcome, self.wire_format.load_header)
         load = steering.parse_load(load_report or '')
         if load is not None:
-            server.record_load(load.running, load.waiting, now)
-            server.record_machine(load.machine_slowdown, now)
+            self.state.placement.record_reported_load(server, load, now)
             if self.report_exchange is not None:
                 # A server that did not run the request does not have its
                 # object cached.
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -14,6 +14,7 @@
 import typing
 
 from filbertstep.steering import _copies
+from filbertstep.steering import _load_reports
 from filbertstep.steering import _model
 from filbertstep.steering import _ranking
 from filbertstep.steering import _routes
@@ -212,7 +213,8 @@
     for a slot, and ``run_s``, the run time.  ``cached`` tells whether the
     server is known to have the object cached, ``can_send_now`` whether the
     request may be sent at once.  ``longest_s`` is the time to the answer if
-    the run is a long one without the object.
+    the load that the server last reported lasts, and the run is a long one
+    without the object.
     """
 
     server: _servers.ServerRecord
@@ -229,7 +231,9 @@
 
     Run times are in seconds on a server of normal speed.  ``maybe_cached_s``
     is that of the first server in rank, which may have the object cached.
-    ``slot_s`` is the time for which a request ahead holds a slot.
+    ``slot_s`` is the time for which a request ahead holds a slot, and
+    ``mean_slot_s`` its mean over the service, whatever was cached.
+    ``usual_requests_per_slot`` is the usual load of a server of the service.
     ``own_copy_due_s`` is added for servers of other zones of the region.  The
     network costs are by distance.
     """
@@ -238,6 +242,8 @@
     maybe_cached_s: float
     uncached_s: float
     slot_s: float
+    mean_slot_s: float
+    usual_requests_per_slot: float
     own_copy_due_s: float
     same_zone_s: float
     same_region_s: float
@@ -317,6 +323,8 @@
         # averages of the run times of their requests of all routes.
         self.unequal_services: collections.abc.Set[str] = frozenset()
         self.mean_run_s: dict[str, float] = {}
+        # Loads that servers report, by service.
+        self.usual_loads: dict[str, _servers.UsualLoad] = {}
         # Derived from the table's usable servers of one generation.
         self.groups_by_service: dict[str, ServiceGroups] = {}
         self.rank_orders = _ranking.RankOrders()
@@ -571,7 +579,7 @@
         ):
             own_copy_due_s = crossing_costs.first_run_s
         return Comparison(
-            eligible, distances, self.request_costs(query, own_copy_due_s)
+            eligible, distances, self.request_costs(query, own_copy_due_s, now)
         )
 
     def ranking_group(
@@ -671,10 +679,26 @@
         mean_s = self.mean_run_s.get(service, run_s)
         self.mean_run_s[service] = mean_s + RUN_TIME_WEIGHT * (run_s - mean_s)
 
+    def record_reported_load(
+        self,
+        server: _servers.ServerRecord,
+        load: _load_reports.LoadReport,
+        now: float,
+    ) -> None:
+        """Record the load that a server reported with an answer."""
+        server.record_load(load.running, load.waiting, now)
+        server.record_machine(load.machine_slowdown, now)
+        self.usual_loads.setdefault(
+            server.entry.service, _servers.UsualLoad()
+        ).record(
+            (load.running + load.waiting) / max(1, server.entry.slots), now
+        )
+
     def request_costs(
-        self, query: PlacementQuery, own_copy_due_s: float
+        self, query: PlacementQuery, own_copy_due_s: float, now: float
     ) -> RequestCosts:
         """Return what the estimates of all servers have in common."""
+        usual_load = self.usual_loads.get(query.service)
         run_times = self.route_run_times(query.route)
         size_bytes = run_times.exchange_bytes
         return RequestCosts(
@@ -682,6 +706,8 @@
             run_times.expected_run_s(TOP_RANK_CACHED_PROBABILITY),
             run_times.uncached_s,
             self.slot_s(query.service, run_times),
+            self.mean_run_s.get(query.service, run_times.uncached_s),
+            usual_load.current(now) if usual_load is not None else 0.0,
             own_copy_due_s,
             self.network_cost_s(Distance.SAME_ZONE, size_bytes),
             self.network_cost_s(Distance.SAME_REGION, size_bytes),
@@ -741,6 +767,18 @@
             slot_wait_s = (
                 (requests_ahead - slots + 1) * costs.slot_s * slowdown / slots
             )
+        lasting_requests = (
+            server.lasting_requests(now, costs.usual_requests_per_slot)
+            + server.waiting_requests
+        )
+        longest_s = costs.uncached_s * MAX_NORMAL_SLOWDOWN
+        if lasting_requests > slots - 0.5:
+            longest_s += (
+                (lasting_requests - slots + 1) * costs.mean_slot_s / slots
+            )
+        longest_s *= (slowdown if slowdown > 1.0 else 1.0) * (
+            machine_slowdown if machine_slowdown > 1.0 else 1.0
+        )
         # A failure adds the time of the retry.
         risk_s = server.failure_rate * FAILURE_COST_RUNS * costs.uncached_s
         return Candidate(
@@ -750,12 +788,7 @@
             run_s,
             cached,
             requests_ahead <= max_requests - 0.5,
-            round_trip_s
-            + slot_wait_s
-            + costs.uncached_s
-            * (slowdown if slowdown > 1.0 else 1.0)
-            * (machine_slowdown if machine_slowdown > 1.0 else 1.0)
-            * MAX_NORMAL_SLOWDOWN,
+            round_trip_s + longest_s,
         )
 
     def set_vms(
--- a/filbertstep/steering/_servers.py
+++ b/filbertstep/steering/_servers.py
@@ -25,6 +25,13 @@
 LOAD_REPORT_HALF_LIFE_S: typing.Final = 1.5
 LOAD_REPORT_WEIGHT: typing.Final = 0.5
 
+# Time for which a reported load may last.  Longer than a VM that stops accepts
+# requests, in which it gets ever fewer reports.
+MAX_REPORTED_LOAD_AGE_S: typing.Final = 4.0
+
+# Weight of one load report in the moving average of a service.
+USUAL_LOAD_WEIGHT: typing.Final = 0.1
+
 # Weights of one answer in the moving averages of failures and of slowdown.
 FAILURE_WEIGHT: typing.Final = 0.25
 SLOWDOWN_WEIGHT: typing.Final = 0.3
@@ -163,6 +170,33 @@
     slots: dict[str, int]
 
 
+class UsualLoad:
+    """Moving average of the load that the servers of a service report.
+
+    ``requests_per_slot`` counts running and waiting requests.
+    """
+
+    def __init__(self) -> None:
+        self.requests_per_slot = 0.0
+        self.updated_at = float('-inf')
+
+    def record(self, requests_per_slot: float, now: float) -> None:
+        """Update the average with one report."""
+        if now - self.updated_at > MAX_REPORTED_LOAD_AGE_S:
+            self.requests_per_slot = requests_per_slot
+        else:
+            self.requests_per_slot += USUAL_LOAD_WEIGHT * (
+                requests_per_slot - self.requests_per_slot
+            )
+        self.updated_at = now
+
+    def current(self, now: float) -> float:
+        """Return the average, 0 without a recent report."""
+        if now - self.updated_at > MAX_REPORTED_LOAD_AGE_S:
+            return 0.0
+        return self.requests_per_slot
+
+
 class ServerRecord:
     """One backend server.  Times are on the clock of this VM.
 
@@ -194,7 +228,8 @@
         # Estimate of the requests of other VMs at the server, and its time.
         self.other_vm_requests = 0.0
         self.other_vm_requests_at = now
-        # Time of the newest load report, of whatever VM.
+        # Other VMs' requests in the newest load report, and the time of it.
+        self.reported_other_requests = 0
         self.load_reported_at = float('-inf')
         # Times of last use by object, least recently used first.
         self.cached_objects: collections.OrderedDict[str, float] = (
@@ -243,6 +278,25 @@
             self.other_vm_requests * 0.5 ** (age_s / LOAD_REPORT_HALF_LIFE_S)
         )
 
+    def lasting_requests(
+        self, now: float, usual_requests_per_slot: float
+    ) -> float:
+        """Return the number of requests at the server if the load lasts.
+
+        The estimate decays, so that a server that was full is tried again.
+        Without a recent report, the load of the server is taken for the one
+        that is usual in its service.
+        """
+        others = self.current_other_vm_requests(now)
+        if now - self.load_reported_at <= MAX_REPORTED_LOAD_AGE_S:
+            return self._in_progress + max(
+                others, self.reported_other_requests
+            )
+        return max(
+            self._in_progress + others,
+            usual_requests_per_slot * max(1, self.entry.slots),
+        )
+
     def record_load(self, running: int, waiting: int, now: float) -> None:
         """Update the estimate with the load reported in an answer.
 
@@ -250,6 +304,7 @@
         this VM's requests in progress.
         """
         reported = max(0, running + waiting - self.in_progress)
+        self.reported_other_requests = reported
         self.load_reported_at = now
         self.update_other_vm_requests(reported, LOAD_REPORT_WEIGHT, now)
 
@@ -262,7 +317,9 @@
         others loses its weight with its age.
         """
         reported = max(0, running + waiting - 1 - self.in_progress)
-        self.load_reported_at = max(self.load_reported_at, reported_at)
+        if reported_at >= self.load_reported_at:
+            self.reported_other_requests = reported
+            self.load_reported_at = reported_at
         age_s = max(0.0, now - reported_at)
         weight = LOAD_REPORT_WEIGHT * 0.5 ** (age_s / LOAD_REPORT_HALF_LIFE_S)
         self.update_other_vm_requests(reported, weight, now)
--- a/filbertstep/steering/_snapshots.py
+++ b/filbertstep/steering/_snapshots.py
@@ -101,6 +101,10 @@
         route: copy.copy(times) for route, times in placement.run_times.items()
     }
     copied.mean_run_s = dict(placement.mean_run_s)
+    copied.usual_loads = {
+        service: copy.copy(load)
+        for service, load in placement.usual_loads.items()
+    }
     copied.cold_senders = {}
     copied.groups_by_service = {}
     copied.rank_orders = _ranking.RankOrders()
--- a/tests/plain_placement.py
+++ b/tests/plain_placement.py
@@ -287,6 +287,14 @@
                 * server.slowdown
                 / slots
             )
+        lasting = server.lasting_requests(now, 0.0) + server.waiting_requests
+        longest_wait_s = 0.0
+        if lasting > slots - 0.5:
+            longest_wait_s = (
+                (lasting - slots + 1)
+                * self.mean_run_s.get(query.service, run_times.uncached_s)
+                / slots
+            )
         risk_s = (
             server.failure_rate
             * _placement.FAILURE_COST_RUNS
@@ -304,8 +312,9 @@
             cached,
             requests_ahead <= max_requests - 0.5,
             round_trip_s
-            + slot_wait_s
-            + run_times.uncached_s
-            * max(1.0, server.slowdown)
-            * _placement.MAX_NORMAL_SLOWDOWN,
+            + (
+                run_times.uncached_s * _placement.MAX_NORMAL_SLOWDOWN
+                + longest_wait_s
+            )
+            * max(1.0, server.slowdown),
         )
