Use servers that can finish while a VM stops

What callers saw: a stopping VM rejected requests (503) that one of its servers could have served before the exit.

Cause: a stop looked only at the server with the lowest estimate, which counts on a cached object and on queues that shrink. If that one could not finish for certain, the request was rejected, whatever the others could do.

Change: the placement of a stopping VM leaves out each server that may answer after the end of runs, so that choice, retry, hedge and the dispatch of waiting requests all look for one that can finish. `filbertstep-explain` gives the reason. A hedge is bounded by the longest time, no longer by the estimate.

Test: TestStopping.test_another_server_is_used_if_it_can_finish; on the code before, the request was rejected with `stopping`. The tests of TestStopping begin stops through the state of the VM, which tells the placement; their expectations are the same.

--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -340,10 +340,7 @@
     def request_stop(self) -> None:
         """Begin a planned stop; its times count from the signal."""
         stop, now = self.state.stop, self.clock.now()
-        stop.begin(now, self.settings.bounds.stop_grace_s)
-        self.state.wait_queue.limit_waits(
-            stop.runs_until - _requests.MIN_ATTEMPT_S
-        )
+        self.state.begin_stop(now)
         loop_offset_s = asyncio.get_running_loop().time() - now
         self.forwarder.limit_attempts(
             stop.runs_until + loop_offset_s, stop.answers_until + loop_offset_s
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -348,8 +348,6 @@
                 'no time is left',
                 _messages.MIN_RETRY_AFTER_S,
             )
-        if not self.can_finish(admitted, best, now):
-            return self.refuse_stopping()
         if best.can_send_now and not self.state.wait_queue.length(
             query.service
         ):
@@ -386,10 +384,7 @@
         """Return what a wait led to, None if servers are compared again."""
         waiter = begun.waiter
         if reserved is not None:
-            if self.can_finish(admitted, reserved, now):
-                return reserved
-            reserved.server.in_progress -= 1
-            return self.refuse_stopping()
+            return reserved
         if waiter.retry_after_s is not None:
             return self.refuse_no_slot(admitted, waiter.retry_after_s)
         if now >= min(waiter.deadline, self.before_exit(begun.wait_end)):
@@ -465,22 +460,6 @@
         """Return ``wait_until``, or the last useful time before the exit."""
         return min(wait_until, self.state.stop.runs_until - MIN_ATTEMPT_S)
 
-    def can_finish(
-        self,
-        admitted: _messages.Admitted,
-        candidate: steering.Candidate,
-        now: float,
-    ) -> bool:
-        """Return whether the caller certainly gets an answer before the exit.
-
-        The estimate will not do: a server may have evicted the object that it
-        counts on, and the exit would cut off what may not be sent again.
-        """
-        return (
-            min(now + candidate.longest_s, admitted.deadline)
-            < self.state.stop.runs_until
-        )
-
     def find_candidate(
         self,
         admitted: _messages.Admitted,
@@ -730,6 +709,7 @@
         admitted.allowed_regions,
         tried_servers,
         admitted.region,
+        admitted.deadline,
     )
 
 
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -121,6 +121,16 @@
             _contracts.KeyKind.EVACUATION: self.apply_evacuation,
         }
 
+    def begin_stop(self, now: float) -> None:
+        """Begin the planned stop of this VM, which bounds all requests."""
+        self.stop.begin(now, self.settings.bounds.stop_grace_s)
+        self.limit_runs(self.stop.runs_until)
+
+    def limit_runs(self, runs_until: float) -> None:
+        """Send only requests whose runs end by a time; end waits by then."""
+        self.placement.runs_until = runs_until
+        self.wait_queue.limit_waits(runs_until)
+
     def set_settings(self, settings: _contracts.EntrySettings) -> None:
         """Apply changed settings.
 
--- a/filbertstep/entry/_stopping.py
+++ b/filbertstep/entry/_stopping.py
@@ -93,7 +93,7 @@
 
     def interrupts(self, deadline: float) -> bool:
         """Return whether the stop ends before a request's own deadline."""
-        return self.answers_until < deadline
+        return self.runs_until < deadline
 
     def phase(self, now: float) -> Phase:
         """Return the phase at a time."""
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -166,8 +166,7 @@
         hedge_candidate = self.state.placement.best_candidate(hedge_query, now)
         if hedge_candidate is None or not hedge_candidate.can_send_now:
             return None
-        latest_end = min(admitted.deadline, self.state.stop.runs_until)
-        if latest_end - now < hedge_candidate.estimate_s:
+        if admitted.deadline - now < hedge_candidate.estimate_s:
             return None
         if not self.state.retry_budget.try_take(admitted.service, now):
             return None
--- a/filbertstep/steering/_comparisons.py
+++ b/filbertstep/steering/_comparisons.py
@@ -18,7 +18,8 @@
 
     REQUESTED_PAUSE: the server asked for no requests.  FAILURES: it is paused
     after failures.  SLOW_START: it is cold, and the rate for that gives this
-    VM no request now.  RANK: enough servers come before it.
+    VM no request now.  STOP: it may answer only after this VM exits.  RANK:
+    enough servers come before it.
     """
 
     LEAVING = 'leaving'
@@ -29,6 +30,7 @@
     FAILURES = 'paused after failures'
     REQUESTED_PAUSE = 'asked for a pause'
     SLOW_START = 'slow start'
+    STOP = 'may answer after the exit'
     RANK = 'behind others in rank'
 
 
@@ -86,6 +88,16 @@
             )
             for rank, server in compared.eligible
         ]
+    too_late = {
+        ranked.candidate.server
+        for ranked in candidates
+        if not placement.ends_in_time(ranked.candidate, query, now)
+    }
+    candidates = [
+        ranked
+        for ranked in candidates
+        if ranked.candidate.server not in too_late
+    ]
     best = placement.best_candidate(query, now, max_wait_s)
     candidates.sort(
         key=lambda ranked: (
@@ -104,7 +116,9 @@
     return FullComparison(
         candidates,
         [
-            explain_exclusion(placement, query, server, now)
+            Exclusion(server, Reason.STOP, None)
+            if server in too_late
+            else explain_exclusion(placement, query, server, now)
             for server in placement.table.by_service.get(
                 query.service, {}
             ).values()
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -195,7 +195,7 @@
     empty if there is none.  ``allowed_regions`` None allows all regions, an
     empty set none.  ``tried_servers`` holds the ids of servers to which the
     request was sent before.  ``region`` restricts the choice to one region
-    unless it is None.
+    unless it is None.  The time of the request ends at ``deadline``.
     """
 
     route: _model.Route
@@ -204,6 +204,7 @@
     allowed_regions: frozenset[str] | None
     tried_servers: frozenset[str] = frozenset()
     region: str | None = None
+    deadline: float = float('inf')
 
 
 class Candidate(typing.NamedTuple):
@@ -323,6 +324,8 @@
         # averages of the run times of their requests of all routes.
         self.unequal_services: collections.abc.Set[str] = frozenset()
         self.mean_run_s: dict[str, float] = {}
+        # When runs must have ended, because this VM stops.
+        self.runs_until = float('inf')
         # Loads that servers report, by service.
         self.usual_loads: dict[str, _servers.UsualLoad] = {}
         # Derived from the table's usable servers of one generation.
@@ -529,7 +532,8 @@
 
         A server whose slot wait exceeds ``max_wait_s`` is chosen only if that
         holds for all servers, so that no request is refused while another
-        server has a free slot.
+        server has a free slot.  A VM that stops leaves out the servers that
+        may answer too late.
         """
         compared = self.comparison(query, now)
         if compared is None:
@@ -541,6 +545,8 @@
             candidate = self.estimate(
                 server, distances[server], rank, query, costs, now
             )
+            if not self.ends_in_time(candidate, query, now):
+                continue
             if (
                 rank == 0
                 and candidate.can_send_now
@@ -557,6 +563,19 @@
                 best_s = candidate.estimate_s
         return best
 
+    def ends_in_time(
+        self, candidate: Candidate, query: PlacementQuery, now: float
+    ) -> bool:
+        """Return whether a run certainly ends before this VM exits.
+
+        The estimate will not do: a server may have evicted the object that it
+        counts on.  A request whose own time ends before has an answer then.
+        """
+        return (
+            query.deadline <= self.runs_until
+            or now + candidate.longest_s < self.runs_until
+        )
+
     def comparison(
         self, query: PlacementQuery, now: float
     ) -> Comparison | None:
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -1,6 +1,7 @@
 """Handling of requests: refusals, retries, and the replies to callers."""
 
 import asyncio
+import collections.abc
 import json
 import typing
 import unittest
@@ -749,24 +750,30 @@
 class StoppingForwarder(FakeForwarder):
     """Begins the stop of the VM when the first attempt was sent."""
 
-    stop: _stopping.Stop
-    now = 0.0
+    begin_stop: collections.abc.Callable[[float], None]
 
     async def send(
         self, attempt: delivery.Attempt, before_send: delivery.BeforeSend
     ) -> delivery.ForwardOutcome:
         """Return the next outcome after the stop has begun."""
-        self.stop.begin(self.now, STOP_TIMEOUT_S)
+        self.begin_stop(STOP_TIMEOUT_S)
         return await super().send(attempt, before_send)
 
 
 class TestStopping(RequestTestCase):
     """Attempts that the exit of the process would cut off."""
 
+    def begin_stop(self, left_s: float) -> None:
+        """Stop the VM; runs must end in ``left_s`` seconds."""
+        stop, now = self.state.stop, self.clock.now()
+        stop.begin(now, left_s)
+        stop.runs_until = now + left_s
+        self.state.limit_runs(stop.runs_until)
+
     async def test_request_that_cannot_finish_is_refused(self) -> None:
         """Guards against passing on what another VM can serve to its end."""
         self.build()
-        self.state.stop.begin(self.clock.now(), STOP_TIMEOUT_S)
+        self.begin_stop(STOP_TIMEOUT_S)
         reply = await self.serve()
         self.assertIs(self.kind(reply), errors.ErrorKind.STOPPING)
         self.assertEqual(self.forwarder.attempts, [])
@@ -792,9 +799,8 @@
                 now = self.clock.now()
                 for server in self.state.servers.by_id.values():
                     server.record_object('x', now)
-                self.state.stop.begin(now, STOP_TIMEOUT_S)
+                self.begin_stop(left_s)
                 self.state.stop.accepts_until = now + STOP_TIMEOUT_S
-                self.state.stop.runs_until = now + left_s
                 reply = await self.serve()
                 self.assertIs(self.kind(reply), expected)
                 self.assertEqual(
@@ -805,13 +811,30 @@
         """Guards against a further attempt that is cut off."""
         self.build()
         forwarder = StoppingForwarder(SHED)
-        forwarder.stop, forwarder.now = self.state.stop, self.clock.now()
+        forwarder.begin_stop = self.begin_stop
         self.system.attempt_sender.forwarder = forwarder
         reply = await self.serve()
         self.assertIs(self.kind(reply), errors.ErrorKind.STOPPING)
         self.assertEqual(len(forwarder.attempts), 1)
         self.assertEqual(self.requests_in_progress(), 0)
 
+    async def test_another_server_is_used_if_it_can_finish(self) -> None:
+        """Guards against rejecting in a stop what another server can finish.
+
+        The server that has the object also has a queue, and is believed to be
+        the fastest all the same, as its report is old.
+        """
+        self.build(timeout_s=5.0)
+        now = self.clock.now()
+        caching = self.state.servers.by_id['s0']
+        caching.record_object('x', now)
+        caching.record_load(3, 10, now - 2.0)
+        for server in self.state.servers.by_id.values():
+            server.last_sent_at = now
+        self.begin_stop(2.0)
+        self.assertIsNone(self.kind(await self.serve()))
+        self.assertNotIn('s0', self.sent_to())
+
     async def test_waiting_request_is_refused_before_the_exit(self) -> None:
         """Guards against the exit while a request waits for a slot."""
         self.build(target_s=20.0)
@@ -822,11 +845,7 @@
         self.assertEqual(self.state.wait_queue.length('orders'), 1)
         now = self.clock.now()
         # The exit is due, so that the time for waits is over.
-        stop = self.state.stop
-        stop.begin(now - STOP_TIMEOUT_S, STOP_TIMEOUT_S)
-        self.state.wait_queue.limit_waits(
-            stop.runs_until - _requests.MIN_ATTEMPT_S
-        )
+        self.begin_stop(-STOP_TIMEOUT_S)
         self.state.wait_queue.dispatch('orders', now)
         async with asyncio.timeout(STOP_TIMEOUT_S):
             reply = await serving
