End waits in a stop once no server can finish

What callers saw: a request that waited for a slot on a stopping VM was held until shortly before the exit, and then rejected.

Cause: a stop moved the end of all waits to its own end, and nothing compared what was left with the time of a run. Such a caller lost the time that another VM could have used.

Change: a wait ends as soon as there is no server that can finish before the exit, and the caller gets 503 `stopping`, which is not run.

Test: TestStopping.test_wait_ends_once_no_server_can_finish; on the code before it waited for the rest of the stop (TimeoutError).

--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -576,6 +576,17 @@
             or now + candidate.longest_s < self.runs_until
         )
 
+    def may_wait(self, query: PlacementQuery, now: float) -> bool:
+        """Return whether a request without a candidate may wait for one.
+
+        That is useless if all servers asked for a pause, or if a run would
+        end after this VM exits.
+        """
+        return (
+            query.deadline <= self.runs_until
+            and self.accepting_from(query, now) <= now
+        )
+
     def comparison(
         self, query: PlacementQuery, now: float
     ) -> Comparison | None:
--- a/filbertstep/steering/_waiting.py
+++ b/filbertstep/steering/_waiting.py
@@ -28,8 +28,8 @@
 
     ``target_time`` is when its answer should arrive, ``deadline`` when its
     wait ends.  The future resolves to the server to use, with a slot reserved,
-    or to None: at the deadline, or as soon as there is no server that wants
-    any request.
+    or to None: at the deadline, or as soon as there is no server for which it
+    is worth waiting.
 
     ``cost`` is set in a service whose queue is ordered by cost; the wait of a
     request there that has none, or while nothing is known of the slots, ends
@@ -240,7 +240,7 @@
                 continue
             if candidate is not None:
                 candidate.server.waiting_requests += 1
-            elif self.placement.accepting_from(request.query, now) > now:
+            elif not self.placement.may_wait(request.query, now):
                 request.future.set_result(None)
                 continue
             remaining.append(request)
@@ -320,11 +320,11 @@
     ) -> bool:
         """Send a request if there is a slot; return whether its wait ends.
 
-        It also ends if no server wants any request.
+        It also ends if there is no server for which it is worth waiting.
         """
         candidate = self.placement.best_candidate(request.query, now)
         if candidate is None:
-            if self.placement.accepting_from(request.query, now) > now:
+            if not self.placement.may_wait(request.query, now):
                 end_wait(request, None)
                 return True
             request.count_at(None)
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -835,6 +835,24 @@
         self.assertIsNone(self.kind(await self.serve()))
         self.assertNotIn('s0', self.sent_to())
 
+    async def test_wait_ends_once_no_server_can_finish(self) -> None:
+        """Guards against a wait until the exit that cannot lead to a server.
+
+        Its caller can use the time on another VM.
+        """
+        self.build(target_s=20.0, timeout_s=100.0)
+        for server in self.state.servers.by_id.values():
+            server.in_progress = server.entry.slots
+        serving = asyncio.ensure_future(self.serve(deadline=float('inf')))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.state.wait_queue.length('orders'), 1)
+        self.begin_stop(10.0)
+        self.state.wait_queue.dispatch('orders', self.clock.now())
+        async with asyncio.timeout(1.0):
+            reply = await serving
+        self.assertIs(self.kind(reply), errors.ErrorKind.STOPPING)
+        self.assertEqual(self.forwarder.attempts, [])
+
     async def test_waiting_request_is_refused_before_the_exit(self) -> None:
         """Guards against the exit while a request waits for a slot."""
         self.build(target_s=20.0)
