Answer half-sent requests before a stopping VM exits

What callers saw: a caller that was sending a body when the VM exited lost its connection without an answer, and had to guess that nothing had run.

Cause: a body was read until the caller's own deadline, which the stop did not bound.

Change: bodies are read until the end of runs at most, also those that were being read at the signal. The answer is 503 `stopping`, not run.

Test: TestUnansweredRequests.test_half_sent_request_is_refused_before_the_exit; on the code before, IncompleteReadError (no answer).

--- a/filbertstep/entry/_bodies.py
+++ b/filbertstep/entry/_bodies.py
@@ -13,6 +13,7 @@
 
 from filbertstep import clock
 from filbertstep import errors
+from filbertstep.entry import _messages
 
 # Time after which a refused caller may find memory free.
 RETRY_AFTER_S: typing.Final = 0.5
@@ -51,6 +52,19 @@
         self.deadline = deadline
         self.clock = time_source
         self.held_bytes = 0
+        self.ended_by_stop = False
+        self.timeout_scope: asyncio.Timeout | None = None
+
+    def end_by(self, stop_time: float) -> None:
+        """Read until the stop of this VM at most."""
+        if stop_time >= self.deadline:
+            return
+        self.deadline = stop_time
+        self.ended_by_stop = True
+        scope = self.timeout_scope
+        if scope is not None and not scope.expired():
+            left_s = stop_time - self.clock.now()
+            scope.reschedule(asyncio.get_running_loop().time() + left_s)
 
     async def read(self) -> bytes | errors.Failure:
         """Return the body, or the failure if it cannot be held.
@@ -62,7 +76,7 @@
         body = bytearray()
         left_s = max(0.0, self.deadline - self.clock.now())
         try:
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(left_s) as self.timeout_scope:
                 async for chunk in self.request.content.iter_any():
                     if len(body) + len(chunk) > self.max_bytes:
                         return errors.Failure(
@@ -75,6 +89,12 @@
                     self.held_bytes += len(chunk)
                     body += chunk
         except TimeoutError:
+            if self.ended_by_stop:
+                return errors.Failure(
+                    errors.ErrorKind.STOPPING,
+                    'this VM stops before the body has arrived',
+                    _messages.MIN_RETRY_AFTER_S,
+                )
             return errors.Failure(
                 errors.ErrorKind.NO_ROOM,
                 'the body did not arrive in time',
@@ -82,6 +102,8 @@
             )
         except (aiohttp.ClientError, ConnectionError) as error:
             raise asyncio.CancelledError from error
+        finally:
+            self.timeout_scope = None
         return bytes(body)
 
     def refuse(self) -> errors.Failure:
--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -52,6 +52,7 @@
         self.running: set[_pipelines.RunningRequest] = set()
         self.pipelines = _pipelines.PipelineTable()
         self.body_memory = _bodies.BodyMemory(body_memory_bytes)
+        self.body_readers: set[_bodies.BodyReader] = set()
 
     def request_arrived(
         self,
@@ -159,8 +160,10 @@
                 work = asyncio.ensure_future(
                     self.request_handler.serve(call, reader.read)
                 )
+                reader.end_by(self.state.stop.runs_until)
+                self.body_readers.add(reader)
                 # The work may outlive this handler, and needs the body.
-                work.add_done_callback(lambda _: reader.release())
+                work.add_done_callback(lambda _: self.release(reader))
             try:
                 reply = await asyncio.shield(work)
             except asyncio.CancelledError:
@@ -178,6 +181,16 @@
             if isinstance(connection, _connections.CallerConnection):
                 self.start_early(connection, pipeline)
 
+    def release(self, reader: _bodies.BodyReader) -> None:
+        """Free the body of a request that has ended."""
+        self.body_readers.discard(reader)
+        reader.release()
+
+    def end_bodies_by(self, stop_time: float) -> None:
+        """Read bodies until the stop of this VM at most."""
+        for reader in self.body_readers:
+            reader.end_by(stop_time)
+
     def log_internal_error(self, request_id: str, error: Exception) -> None:
         """Log a fault of the program."""
         self.state.log.write(
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -333,6 +333,28 @@
         self.assertEqual(self.passed_on(), ['queued'])
         self.assertEqual((await self.finish())['running'], 0)
 
+    async def test_half_sent_request_is_refused_before_the_exit(self) -> None:
+        """Guards against closing connections without an answer.
+
+        The rest of the body does not arrive, before the signal or after it.
+        """
+        head = (
+            'POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            'X-Request-Id: half\r\nX-Deadline-Ms: 9000\r\n'
+            f'Authorization: Bearer {KEY}\r\nContent-Length: 900\r\n\r\n'
+        )
+        callers = [await self.connect() for _ in range(2)]
+        callers[0].writer.write(head.encode() + b'x' * 450)
+        await asyncio.sleep(0.1)
+        await self.request_stop()
+        callers[1].writer.write(head.encode() + b'x' * 450)
+        for caller in callers:
+            status, headers, body = await caller.read_answer()
+            self.assertEqual((status, headers['connection']), (503, 'close'))
+            self.assertEqual(json.loads(body)['kind'], 'stopping')
+        self.assertEqual(self.passed_on(), [])
+        self.assertLess((await self.finish())['after_s'], GRACE_S)
+
     async def test_answer_shortly_before_the_exit_is_delivered(self) -> None:
         """Guards against interrupting what can be served before the exit."""
         self.delay_s = 0.94 * GRACE_S
