Bound both attempts of a hedged request in a stop

Cause: the stop bounded the attempts that are known by request id, of which there is one for each id. A hedge, or another request with the same id, took the place of the attempt before it. Found by reading the way from the signal to each kind of attempt.

Change: the forwarder keeps the set of all attempts in progress.

Test: TestLimitedAttempts.test_all_attempts_of_a_request_end; on the code before the first attempt did not end (TimeoutError). The other two tests of the class passed before: what a server is told, and no attempt after the end of runs.

--- a/filbertstep/_forward.py
+++ b/filbertstep/_forward.py
@@ -752,7 +752,10 @@
         self.buffer_memory = BufferMemory(buffer_bytes)
         self.session: aiohttp.ClientSession | None = None
         self.limits = AttemptLimits()
+        # The newest attempt in progress by request id, and all attempts: a
+        # hedged request has two.
         self.in_flight: dict[str, AttemptState] = {}
+        self.unfinished: set[AttemptState] = set()
         self.open_streams: dict[str, ResponseStream] = {}
 
     def get_session(self) -> aiohttp.ClientSession:
@@ -812,7 +815,7 @@
         """
         self.limits.run_end = run_end
         self.limits.response_end = response_end
-        for state in self.in_flight.values():
+        for state in self.unfinished:
             scope = state.timeout_scope
             if scope is None or scope.expired():
                 continue
@@ -844,6 +847,7 @@
         )
         token = CURRENT_ATTEMPT.set(state)
         self.in_flight[attempt.request_id] = state
+        self.unfinished.add(state)
         try:
             async with asyncio.timeout_at(
                 min(state.deadline, self.limits.response_end)
@@ -877,6 +881,7 @@
             return connection_failed(state, type(error).__name__)
         finally:
             CURRENT_ATTEMPT.reset(token)
+            self.unfinished.discard(state)
             if self.in_flight.get(attempt.request_id) is state:
                 del self.in_flight[attempt.request_id]
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -404,6 +404,46 @@
         await asyncio.wait_for(server.closed.wait(), 5)
 
 
+class TestLimitedAttempts(ForwardCase):
+    """Attempts of a process that stops."""
+
+    async def test_all_attempts_of_a_request_end(self) -> None:
+        """Guards against a stop that forgets the attempt before a hedge."""
+        server, address = await self.serve(replies())
+        tasks = [asyncio.create_task(self.send(address)) for _ in range(2)]
+        while len(server.requests) < 2:
+            await asyncio.sleep(0.005)
+        now = asyncio.get_running_loop().time()
+        self.forwarder.limit_attempts(now + 0.05, now + 0.1)
+        outcomes = await asyncio.wait_for(asyncio.gather(*tasks), 2.0)
+        self.assertEqual(
+            [Kind.TIMED_OUT] * 2, [outcome.kind for outcome in outcomes]
+        )
+
+    async def test_server_is_told_the_end_of_runs(self) -> None:
+        """Guards against work that a server begins after the exit."""
+        server, address = await self.serve(replies(http_response(b'yes')))
+        now = asyncio.get_running_loop().time()
+        self.forwarder.limit_attempts(now + 2.0, now + 3.0)
+        for time_left_s, expected_ms in ((5.0, 2000), (1.0, 1000)):
+            with self.subTest(time_left_s=time_left_s):
+                await self.send(address, time_left_s=time_left_s)
+                told_ms = int(
+                    header(server.requests[-1], 'X-Deadline-Ms') or 0
+                )
+                self.assertLessEqual(told_ms, expected_ms)
+                self.assertGreater(told_ms, expected_ms - 900)
+
+    async def test_no_attempt_begins_after_the_end_of_runs(self) -> None:
+        """Guards against a request that only the exit ends."""
+        server, address = await self.serve(replies(http_response(b'yes')))
+        now = asyncio.get_running_loop().time()
+        self.forwarder.limit_attempts(now, now + 1.0)
+        outcome = await self.send(address)
+        self.assertIs(Kind.NOT_SENT, outcome.kind)
+        self.assertEqual([], server.requests)
+
+
 class TestLargeResponses(ForwardCase):
     """Responses above the buffering limit of 1 MiB."""
 
