Leave small VMs time to deliver the last answers of a stop

Between the answers that a stopping VM gives in place of servers and its exit were 60 ms of a stop of 6 s. A VM with a third of a core that has a hundred such requests may need longer.

Change: servers are told 0.96 of the stop timeout, the VM answers at 0.975, the exit stays at 0.99: 90 ms each. The tests of these steps use stops of 6 s, as the platform does.

Measured: TestUnansweredRequests, TestPhases and TestStopping pass; an answer after 0.94 of the stop is delivered, as before.

--- a/filbertstep/entry/_stopping.py
+++ b/filbertstep/entry/_stopping.py
@@ -28,8 +28,8 @@
 # answers in their place, and when the process exits whatever still runs.  The
 # first difference lets a server report that it did not run a request, the
 # second lets callers get the answers.
-RUNS_FRACTION: typing.Final = 0.97
-ANSWERS_FRACTION: typing.Final = 0.98
+RUNS_FRACTION: typing.Final = 0.96
+ANSWERS_FRACTION: typing.Final = 0.975
 FORCED_EXIT_FRACTION: typing.Final = 0.99
 
 # Time to deliver the last answers even if the event loop is late.
