Compute the longest time to an answer only in a stop

Cause: since queues are expected to last, each estimate of a server also computed the longest time, which only a stopping VM needs.

Change: `Placement.longest_s` is a function of its own, called for the servers that a stopping VM compares and for the log line of an attempt that was sent in a stop. The plain placement of the tests has no such figure any more.

--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -43,13 +43,15 @@
 
     ``requests_ahead`` is the estimated number of other requests at the
     server.  ``load_age_s`` is the age in seconds of the server's newest load
-    report, infinite if there was none.
+    report, infinite if there was none.  ``longest_s`` is the longest time to
+    the answer, by which a VM that stops decides; None before the stop.
     """
 
     candidate: steering.Candidate
     sent_at: float
     requests_ahead: float
     load_age_s: float
+    longest_s: float | None
 
     def log_fields(self, stop_begun_at: float) -> dict[str, _log.FieldValue]:
         """Return the fields of a log line on what a stop ended."""
@@ -60,7 +62,9 @@
             'load_age_s': round(self.load_age_s, 3)
             if self.load_age_s != float('inf')
             else None,
-            'longest_s': round(self.candidate.longest_s, 3),
+            'longest_s': round(self.longest_s, 3)
+            if self.longest_s is not None
+            else None,
         }
 
 
@@ -244,6 +248,9 @@
             # The slot of this attempt is reserved already.
             max(0.0, server.estimated_requests(sent_at) - 1.0),
             sent_at - server.load_reported_at,
+            self.state.placement.longest_s(server, query, sent_at)
+            if self.state.stop.interrupts(admitted.deadline)
+            else None,
         )
         self.running.setdefault(attempt.request_id, []).append(running)
         try:
--- a/filbertstep/steering/_comparisons.py
+++ b/filbertstep/steering/_comparisons.py
@@ -91,7 +91,7 @@
     too_late = {
         ranked.candidate.server
         for ranked in candidates
-        if not placement.ends_in_time(ranked.candidate, query, now)
+        if not placement.ends_in_time(ranked.candidate.server, query, now)
     }
     candidates = [
         ranked
--- a/filbertstep/steering/_placement.py
+++ b/filbertstep/steering/_placement.py
@@ -213,9 +213,7 @@
     ``estimate_s`` is the total cost, which includes ``slot_wait_s``, the wait
     for a slot, and ``run_s``, the run time.  ``cached`` tells whether the
     server is known to have the object cached, ``can_send_now`` whether the
-    request may be sent at once.  ``longest_s`` is the time to the answer if
-    the load that the server last reported lasts, and the run is a long one
-    without the object.
+    request may be sent at once.
     """
 
     server: _servers.ServerRecord
@@ -224,7 +222,6 @@
     run_s: float
     cached: bool
     can_send_now: bool
-    longest_s: float
 
 
 class RequestCosts(typing.NamedTuple):
@@ -232,9 +229,7 @@
 
     Run times are in seconds on a server of normal speed.  ``maybe_cached_s``
     is that of the first server in rank, which may have the object cached.
-    ``slot_s`` is the time for which a request ahead holds a slot, and
-    ``mean_slot_s`` its mean over the service, whatever was cached.
-    ``usual_requests_per_slot`` is the usual load of a server of the service.
+    ``slot_s`` is the time for which a request ahead holds a slot.
     ``own_copy_due_s`` is added for servers of other zones of the region.  The
     network costs are by distance.
     """
@@ -243,8 +238,6 @@
     maybe_cached_s: float
     uncached_s: float
     slot_s: float
-    mean_slot_s: float
-    usual_requests_per_slot: float
     own_copy_due_s: float
     same_zone_s: float
     same_region_s: float
@@ -539,14 +532,15 @@
         if compared is None:
             return None
         eligible, distances, costs = compared
+        is_limited = self.runs_until < query.deadline
         best: Candidate | None = None
         best_late, best_s = True, float('inf')
         for rank, server in eligible:
+            if is_limited and not self.ends_in_time(server, query, now):
+                continue
             candidate = self.estimate(
                 server, distances[server], rank, query, costs, now
             )
-            if not self.ends_in_time(candidate, query, now):
-                continue
             if (
                 rank == 0
                 and candidate.can_send_now
@@ -563,17 +557,44 @@
                 best_s = candidate.estimate_s
         return best
 
+    def longest_s(
+        self, server: _servers.ServerRecord, query: PlacementQuery, now: float
+    ) -> float:
+        """Return the longest time to the answer that is to be expected.
+
+        The load that the server last reported lasts, and the run is a long
+        one without the object: the server may have evicted it.
+        """
+        run_times = self.route_run_times(query.route)
+        usual_load = self.usual_loads.get(query.service)
+        slots = max(1, server.entry.slots)
+        requests_ahead = server.waiting_requests + server.lasting_requests(
+            now, usual_load.current(now) if usual_load is not None else 0.0
+        )
+        slot_wait_s = 0.0
+        if requests_ahead > slots - 0.5:
+            mean_run_s = self.mean_run_s.get(
+                query.service, run_times.uncached_s
+            )
+            slot_wait_s = (requests_ahead - slots + 1) * mean_run_s / slots
+        server.decay_health(now)
+        slowdown = max(1.0, server.slowdown) * max(
+            1.0, server.current_machine_slowdown(now)
+        )
+        round_trip_s, _ = NETWORK_COSTS[self.distance(server)]
+        run_s = run_times.uncached_s * MAX_NORMAL_SLOWDOWN
+        return round_trip_s + slowdown * (slot_wait_s + run_s)
+
     def ends_in_time(
-        self, candidate: Candidate, query: PlacementQuery, now: float
+        self, server: _servers.ServerRecord, query: PlacementQuery, now: float
     ) -> bool:
         """Return whether a run certainly ends before this VM exits.
 
-        The estimate will not do: a server may have evicted the object that it
-        counts on.  A request whose own time ends before has an answer then.
+        A request whose own time ends before has an answer then.
         """
         return (
             query.deadline <= self.runs_until
-            or now + candidate.longest_s < self.runs_until
+            or now + self.longest_s(server, query, now) < self.runs_until
         )
 
     def may_wait(self, query: PlacementQuery, now: float) -> bool:
@@ -609,7 +630,7 @@
         ):
             own_copy_due_s = crossing_costs.first_run_s
         return Comparison(
-            eligible, distances, self.request_costs(query, own_copy_due_s, now)
+            eligible, distances, self.request_costs(query, own_copy_due_s)
         )
 
     def ranking_group(
@@ -725,10 +746,9 @@
         )
 
     def request_costs(
-        self, query: PlacementQuery, own_copy_due_s: float, now: float
+        self, query: PlacementQuery, own_copy_due_s: float
     ) -> RequestCosts:
         """Return what the estimates of all servers have in common."""
-        usual_load = self.usual_loads.get(query.service)
         run_times = self.route_run_times(query.route)
         size_bytes = run_times.exchange_bytes
         return RequestCosts(
@@ -736,8 +756,6 @@
             run_times.expected_run_s(TOP_RANK_CACHED_PROBABILITY),
             run_times.uncached_s,
             self.slot_s(query.service, run_times),
-            self.mean_run_s.get(query.service, run_times.uncached_s),
-            usual_load.current(now) if usual_load is not None else 0.0,
             own_copy_due_s,
             self.network_cost_s(Distance.SAME_ZONE, size_bytes),
             self.network_cost_s(Distance.SAME_REGION, size_bytes),
@@ -765,14 +783,11 @@
         max_requests = slots
         extra_s = 0.0
         if distance is Distance.SAME_ZONE:
-            round_trip_s = SAME_ZONE_ROUND_TRIP_S
             network_s = costs.same_zone_s
         elif distance is Distance.SAME_REGION:
-            round_trip_s = SAME_REGION_ROUND_TRIP_S
             network_s = costs.same_region_s
             extra_s = costs.own_copy_due_s
         else:
-            round_trip_s = OTHER_REGION_ROUND_TRIP_S
             network_s = costs.other_region_s
             max_requests += OTHER_REGION_EXTRA_REQUESTS
         cached = False
@@ -797,18 +812,6 @@
             slot_wait_s = (
                 (requests_ahead - slots + 1) * costs.slot_s * slowdown / slots
             )
-        lasting_requests = (
-            server.lasting_requests(now, costs.usual_requests_per_slot)
-            + server.waiting_requests
-        )
-        longest_s = costs.uncached_s * MAX_NORMAL_SLOWDOWN
-        if lasting_requests > slots - 0.5:
-            longest_s += (
-                (lasting_requests - slots + 1) * costs.mean_slot_s / slots
-            )
-        longest_s *= (slowdown if slowdown > 1.0 else 1.0) * (
-            machine_slowdown if machine_slowdown > 1.0 else 1.0
-        )
         # A failure adds the time of the retry.
         risk_s = server.failure_rate * FAILURE_COST_RUNS * costs.uncached_s
         return Candidate(
@@ -818,7 +821,6 @@
             run_s,
             cached,
             requests_ahead <= max_requests - 0.5,
-            round_trip_s + longest_s,
         )
 
     def set_vms(
--- a/tests/plain_placement.py
+++ b/tests/plain_placement.py
@@ -287,20 +287,11 @@
                 * server.slowdown
                 / slots
             )
-        lasting = server.lasting_requests(now, 0.0) + server.waiting_requests
-        longest_wait_s = 0.0
-        if lasting > slots - 0.5:
-            longest_wait_s = (
-                (lasting - slots + 1)
-                * self.mean_run_s.get(query.service, run_times.uncached_s)
-                / slots
-            )
         risk_s = (
             server.failure_rate
             * _placement.FAILURE_COST_RUNS
             * run_times.uncached_s
         )
-        round_trip_s, _ = _placement.NETWORK_COSTS[distance]
         return steering.Candidate(
             server,
             self.network_cost_s(distance, run_times.exchange_bytes)
@@ -311,10 +302,4 @@
             run_s,
             cached,
             requests_ahead <= max_requests - 0.5,
-            round_trip_s
-            + (
-                run_times.uncached_s * _placement.MAX_NORMAL_SLOWDOWN
-                + longest_wait_s
-            )
-            * max(1.0, server.slowdown),
         )
--- a/tests/test_measured_runs.py
+++ b/tests/test_measured_runs.py
@@ -138,8 +138,7 @@
         for slowdown, factor in ((1.0, 1.0), (2.5, 2.5), (0.5, 1.0)):
             with self.subTest(slowdown=slowdown):
                 self.server.record_machine(slowdown, 10.0)
-                candidate = self.placement.best_candidate(query, 10.0)
-                assert candidate is not None
                 self.assertGreaterEqual(
-                    candidate.longest_s, 1.3 * factor * UNCACHED_S
+                    self.placement.longest_s(self.server, query, 10.0),
+                    1.3 * factor * UNCACHED_S,
                 )
--- a/tests/test_steering_stop.py
+++ b/tests/test_steering_stop.py
@@ -27,11 +27,9 @@
 
     def longest_s(self) -> float:
         """Return the longest time to the answer of the server."""
-        candidate = self.placement.best_candidate(
-            placement_tests.build_query(), DECIDED_AT
+        return self.placement.longest_s(
+            self.server, placement_tests.build_query(), DECIDED_AT
         )
-        assert candidate is not None
-        return candidate.longest_s
 
     def test_a_queue_lasts_although_its_report_is_seconds_old(self) -> None:
         """Guards against passing requests on to queues that outlast the exit.
