--- a/tests/test_entry_pipelines.py
+++ b/tests/test_entry_pipelines.py
@@ -268,6 +268,24 @@
         await self.finish()
         self.assertEqual(sorted(self.passed_on()), answered)
 
+    async def test_stop_answers_what_servers_did_not(self) -> None:
+        """Guards against an exit that leaves requests unanswered.
+
+        The server answers none of the first three, and the fourth waits for a
+        slot.
+        """
+        self.answering.clear()
+        caller = await self.connect()
+        caller.writer.write(b''.join(request_head(name) for name in 'abcd'))
+        await self.passed_on_are('a', 'b', 'c')
+        await self.request_stop()
+        answers = await self.answers(caller, 4)
+        self.assertEqual(
+            [status for status, _ in answers], [504, 504, 504, 503]
+        )
+        self.assertEqual((await self.finish())['running'], 0)
+        self.assertEqual(sorted(self.passed_on()), ['a', 'b', 'c'])
+
     async def test_wait_behind_others_counts_as_time(self) -> None:
         """Guards against telling a server more time than its caller has."""
         self.answering.clear()
