--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -322,6 +322,15 @@
         stopped = await self.finish()
         self.assertEqual(stopped['running'], 0)
         self.assertEqual(stopped['interrupted'], 2)
+        before, after = (
+            row for row in self.output if row['kind'] == 'interrupted'
+        )
+        self.assertEqual((before['id'], after['id']), ('before', 'after'))
+        self.assertLess(before['sent_after_s'], 0.0)
+        self.assertIsNone(before['longest_s'])
+        self.assertGreater(after['sent_after_s'], 0.0)
+        self.assertEqual((after['server'], after['ahead']), ('i-1', 1))
+        self.assertIsNone(after['load_age_s'])
         self.assertLess(stopped['after_s'], LONG_GRACE_S)
 
     async def test_request_that_no_server_began_may_be_repeated(self) -> None:
