--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -734,12 +735,14 @@
         self.record.write('ready')
 
     async def stop(self) -> None:
-        """End the processes that were started."""
+        """End the processes that were started; ``KEEP=1`` keeps their logs."""
         for vm in self.vms:
             process = vm.process
             if process is not None and process.returncode is None:
                 process.kill()
                 await process.wait()
+        if not os.environ.get('KEEP'):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def configuration(**changes: object) -> dict[str, object]:
