Let the upstream of case 12 close its connections while it leaves

PROTOCOL.md says that the answers of a leaving upstream have `Connection: close`; the stand-in now does so.

--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -454,8 +454,17 @@
                     return
                 closed.cancel()
                 await asyncio.sleep(0)
-                writer.write(sent.result())
+                # Servers that leave end their connections.
+                leaves = self.state == 'draining'
+                reply = sent.result()
+                if leaves:
+                    reply = reply.replace(
+                        b'\r\n', b'\r\nConnection: close\r\n', 1
+                    )
+                writer.write(reply)
                 await writer.drain()
+                if leaves:
+                    return
         except (
             asyncio.IncompleteReadError,
             ConnectionError,
