--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -830,6 +830,7 @@
     sent_at: float
     ended_at: float
     vm: str
+    retry_after_s: float = 0.0
 
 
 class Client:
@@ -897,7 +898,7 @@
     ) -> Reply:
         """Send one attempt; return what came back."""
         request_id = self.world.new_id()
-        sent_at, status = now(), 0
+        sent_at, status, retry_after_s = now(), 0, 0.0
         try:
             await self.look_up()
             await self.connect()
@@ -924,11 +925,14 @@
                 read_message(self.reader), deadline_s
             )
             status = int(got.first.split(' ')[1])
+            retry_after_s = float(got.headers.get('retry-after', '0'))
             if got.headers.get('connection', '').lower() == 'close':
                 self.close()
         except (OSError, EOFError, TimeoutError):
             self.close()
-        reply = Reply(request_id, status, sent_at, now(), self.front)
+        reply = Reply(
+            request_id, status, sent_at, now(), self.front, retry_after_s
+        )
         self.world.record.write('answered', id=request_id, status=status)
         return reply
 
