Show that a broken answer loses the requests that were passed on behind it

Tried: clients send four GETs in one go, the first for an answer of 3 MB; half of the upstreams break off 3 in 100 of their answers for 5 s (`garble`).

--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -113,7 +113,8 @@
     if 'chunked' in headers.get('transfer-encoding', '').lower():
         body = b''
         while True:
-            size = int((await reader.readline()).split(b';')[0], 16)
+            line = await reader.readuntil(b'\r\n')
+            size = int(line.split(b';')[0], 16)
             body += await reader.readexactly(size)
             await reader.readexactly(2)
             if not size:
@@ -461,9 +462,11 @@
                     reply = reply.replace(
                         b'\r\n', b'\r\nConnection: close\r\n', 1
                     )
+                whole_size = len(reply)
+                reply = reply[: self.sent_size(request, reply)]
                 writer.write(reply)
                 await writer.drain()
-                if leaves:
+                if leaves or len(reply) < whole_size:
                     return
         except (
             asyncio.IncompleteReadError,
@@ -475,6 +478,10 @@
             self.writers.discard(writer)
             writer.close()
 
+    def sent_size(self, request: Message, reply: bytes) -> int:
+        """Return how many bytes of an answer are sent; the rest is cut."""
+        return len(reply)
+
     async def handle(self, request: Message) -> bytes:
         """Return the answer to a request."""
         method, target, _ = request.first.split(' ')
