--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -57,6 +57,8 @@
 
 STARTED: typing.Final = time.monotonic()
 
+GIVEN_PORTS: typing.Final[set[int]] = set()
+
 Headers = dict[str, str]
 
 
@@ -66,10 +68,22 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback interface that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port of the loopback interface that is free now.
+
+    It is below those that the kernel gives to outgoing connections, which
+    could take it before it is used.
+    """
+    while True:
+        port = random.SystemRandom().randrange(20000, 32000)
+        if port in GIVEN_PORTS:
+            continue
+        GIVEN_PORTS.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 class CannotRunError(Exception):
