--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,8 +1,9 @@
-"""Upstreams break off a few long answers; clients send requests behind."""
+"""One upstream crashes while it runs three equal requests of one client."""
 
 import asyncio
 import pathlib
 import sys
+import typing
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'standins-3'))
@@ -10,29 +11,37 @@
 
 import world as w  # noqa: E402
 
-LONG_PREFIX = '/look/long/'
-LONG_BYTES = 3_000_000
-LONG_WORK_S = 0.1
-SHORT_WORK_S = 0.3
-
-CLIENTS = 14
-UPSTREAMS = 20
-# ``garble``: this share of the upstreams break off this share of their
-# answers, for this time.
-FAULTY = 10
-FAULTY_SHARE = 0.03
-FAULTY_FOR_S = 5.0
+WORK_S = 0.3
+# Upstreams are down for this long.
+DOWN_S = 4.5
+# From then on, the deployment is in steady state.
+STEADY_AFTER_S = DOWN_S + 4.0
+MEASURED_S = 25.0
+
+CLIENT_DEADLINE_S = 4.0
+
+TICKET_TARGET = '/ticket/17'
+
+
+def with_ticket_route() -> dict[str, typing.Any]:
+    """Return a newer configuration, which has one more route."""
+    config: dict[str, typing.Any] = w.configuration(version='r8')
+    listener = config['listeners'][0]
+    listener['rules'].append(
+        {
+            **listener['rules'][0],
+            'name': 'ticket',
+            'match': {'prefix': '/ticket/'},
+            'sticky': True,
+        }
+    )
+    return config
 
 
 class Upstream(w.Upstream):
-    """An upstream that may break off some of its long answers.
-
-    The counts are those of all faulty upstreams.
-    """
+    """An upstream that counts the tickets that it is drawing."""
 
-    answers_while_faulty = 0
-    cut = 0
-    is_faulty = False
+    tickets = 0
 
     async def run(
         self,
@@ -43,119 +52,114 @@
         until: float,
     ) -> bytes:
         """Run a request in a slot."""
-        is_long = target.startswith(LONG_PREFIX)
-        self.work_s = LONG_WORK_S if is_long else SHORT_WORK_S
-        reply = await super().run(method, target, request, own, until)
-        if not is_long:
-            return reply
-        return w.answer(200, own, b'x' * LONG_BYTES)
-
-    def sent_size(self, request: w.Message, reply: bytes) -> int:
-        """Return how many bytes of an answer are sent; the rest is cut."""
-        if not self.is_faulty:
-            return len(reply)
-        Upstream.answers_while_faulty += 1
-        if (
-            len(reply) < LONG_BYTES
-            or Upstream.cut + 1 > Upstream.answers_while_faulty * FAULTY_SHARE
-        ):
-            return len(reply)
-        Upstream.cut += 1
-        self.note('cuts_answer', request.headers['x-request-id'])
-        return LONG_BYTES * 2 // 3
-
-
-async def send_four(
-    world: w.World, client: w.Client, statuses: dict[str, int]
-) -> None:
-    """Send four requests in one go, and read the answers."""
-    await client.look_up()
-    await client.connect()
-    assert client.reader is not None and client.writer is not None
-    ids = [world.new_id() for _ in range(4)]
-    data = b''
-    for number, request_id in enumerate(ids):
-        target = f'{"/look/short/" if number else LONG_PREFIX}{request_id}'
-        statuses[request_id] = 0
-        world.record.write('sent', id=request_id, target=target)
-        data += w.request_bytes(
-            'GET',
-            target,
-            {
-                'Host': 'shop.example',
-                'X-Request-Id': request_id,
-                'X-Deadline-Ms': '6000',
-                'Authorization': 'Bearer key-one',
-            },
-            b'',
-        )
-    client.writer.write(data)
-    try:
-        for request_id in ids:
-            got = await asyncio.wait_for(w.read_message(client.reader), 7.0)
-            statuses[request_id] = int(got.first.split(' ')[1])
-            world.record.write(
-                'answered', id=request_id, status=statuses[request_id]
-            )
-    except (OSError, EOFError) as error:
-        world.record.write('connection_ends', error=type(error).__name__)
-        client.close()
+        is_ticket = target == TICKET_TARGET
+        self.tickets += is_ticket
+        try:
+            return await super().run(method, target, request, own, until)
+        finally:
+            self.tickets -= is_ticket
 
 
 async def play(world: w.World, trouble: bool) -> bool:
-    """Return whether more than three passed-on requests got no answer."""
+    """Return whether the new route is served far less than the first ones."""
     world.add_vm('front-hobart-a-1', 'hobart-a')
     world.add_vm('front-hobart-b-1', 'hobart-b')
-    upstreams = [
-        Upstream(
+
+    def new_upstream(number: int) -> Upstream:
+        return Upstream(
             world.record,
             world.store,
             f'i-{number}',
             'bookings',
             'hobart-a' if number % 2 else 'hobart-b',
-            slots=3,
+            work_s=WORK_S,
         )
-        for number in range(UPSTREAMS)
-    ]
+
+    upstreams = [new_upstream(number) for number in range(8)]
     world.upstreams += upstreams
     await world.start(w.configuration())
-    statuses: dict[str, int] = {}
-
-    async def go_on(client: w.Client, until: float) -> None:
-        while w.now() < until:
-            await send_four(world, client, statuses)
-            await asyncio.sleep(0.05)
+    world.store.put_doc('op/config', with_ticket_route())
+    await asyncio.sleep(3.0)
+    looks: list[w.Reply] = []
+    tickets: list[w.Reply] = []
+
+    async def look(client: w.Client, number: int) -> None:
+        count = 0
+        while True:
+            count += 1
+            looks.append(await client.send('GET', f'/look/{number}/{count}'))
+            await asyncio.sleep(0.2)
+
+    async def draw(client: w.Client) -> None:
+        while True:
+            reply = await client.send(
+                'POST',
+                TICKET_TARGET,
+                headers={'Cookie': 'X-Affinity-Key=17'},
+            )
+            tickets.append(reply)
+            # Clients honour Retry-After up to a third of their time.
+            pause_s = min(reply.retry_after_s, CLIENT_DEADLINE_S / 3)
+            await asyncio.sleep(max(0.05, pause_s))
 
-    begun = w.now()
     clients = [
-        asyncio.ensure_future(go_on(w.Client(world, zone), begun + 11.0))
-        for zone in ('hobart-a', 'hobart-b') * (CLIENTS // 2)
+        asyncio.ensure_future(look(w.Client(world, zone), number))
+        for number, zone in enumerate(('hobart-a', 'hobart-b') * 2)
     ]
-    await asyncio.sleep(3.0)
-    for upstream in upstreams[:FAULTY]:
-        upstream.is_faulty = trouble
-    await asyncio.sleep(FAULTY_FOR_S)
-    for upstream in upstreams[:FAULTY]:
-        upstream.is_faulty = False
-    await asyncio.gather(*clients)
-    lost = [
-        request_id
-        for upstream in upstreams[FAULTY:]
-        for request_id in upstream.runs
-        if statuses[request_id] == 0
+    clients += [
+        asyncio.ensure_future(draw(w.Client(world, 'hobart-a')))
+        for _ in range(4)
     ]
-    cut, answered = Upstream.cut, Upstream.answers_while_faulty
-    served = sum(status == 200 for status in statuses.values())
+    await asyncio.sleep(3.0)
+    until = w.now() + 20.0
+    while True:
+        busiest = max(upstreams, key=lambda upstream: upstream.tickets)
+        if busiest.tickets >= 3:
+            break
+        if w.now() > until:
+            raise w.CannotRunError('no upstream runs three tickets')
+        await asyncio.sleep(0.005)
+    begun = w.now()
+    world.record.write(
+        'crash' if trouble else 'no_crash',
+        upstream=busiest.name,
+        tickets=busiest.tickets,
+    )
+    if trouble:
+        await busiest.stop(removes_entry=False)
+    await asyncio.sleep(DOWN_S)
+    if trouble:
+        # Each start of an upstream is a new incarnation, with a new id.
+        world.store.delete(f'servers/{busiest.name}')
+        await new_upstream(10).start()
+    await asyncio.sleep(begun + STEADY_AFTER_S + MEASURED_S - w.now())
+    for client in clients:
+        client.cancel()
+
+    def served(replies: list[w.Reply]) -> tuple[int, int]:
+        calm = [
+            reply.status
+            for reply in replies
+            if reply.sent_at > begun + STEADY_AFTER_S
+        ]
+        return calm.count(200), len(calm)
+
+    looks_served, looks_sent = served(looks)
+    tickets_served, tickets_sent = served(tickets)
     world.record.write(
-        'summary', served=served, cut=cut, of=answered, lost=len(lost)
+        'summary',
+        looks_served=looks_served,
+        looks_sent=looks_sent,
+        tickets_served=tickets_served,
+        tickets_sent=tickets_sent,
     )
     print(
-        f'{served} served; faulty upstreams broke off {cut} of {answered} '
-        f'answers; {len(lost)} requests at sound ones got no answer'
+        f'in steady state, {looks_served} of {looks_sent} look-ups and '
+        f'{tickets_served} of {tickets_sent} tickets were served'
     )
-    if served < 200:
-        raise w.CannotRunError('too few requests were served')
-    return len(lost) > 3
+    if looks_served < 100 or tickets_sent < 20:
+        raise w.CannotRunError('too few requests')
+    return tickets_served / tickets_sent < looks_served / looks_sent / 4
 
 
 w.main(FOLDER, play)
--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -663,6 +663,13 @@
         log.close()
         self.world.record.write('vm_starts', vm=self.name)
 
+    async def restart(self) -> None:
+        """Start the process again after its end."""
+        assert self.process is not None
+        await self.process.wait()
+        self.first_start = False
+        await self.start()
+
     def send(self, number: int) -> None:
         """Send a signal to the process, if it still runs."""
         if self.process is not None and self.process.returncode is None:
@@ -919,12 +926,12 @@
     ) -> Reply:
         """Send one attempt; return what came back."""
         request_id = self.world.new_id()
-        sent_at, status, retry_after_s = now(), 0, 0.0
+        sent_at, status, retry_after_s, front = now(), 0, 0.0, ''
         try:
             await self.look_up()
             await self.connect()
             assert self.reader is not None and self.writer is not None
-            sent_at = now()
+            sent_at, front = now(), self.front
             self.world.record.write(
                 'sent', id=request_id, target=target, front=self.front
             )
@@ -952,7 +959,7 @@
         except (OSError, EOFError, TimeoutError):
             self.close()
         reply = Reply(
-            request_id, status, sent_at, now(), self.front, retry_after_s
+            request_id, status, sent_at, now(), front, retry_after_s
         )
         self.world.record.write('answered', id=request_id, status=status)
         return reply
