Decide by the head whether a pipelined request has a body

Cause: whether a request has a body was decided by the end of its payload, which is already reached when the whole body has arrived with the head. The request was then started early, as one without a body.

Change: the head alone decides (RFC 9112, section 6.3), so methods, codings and segments make no difference.

--- a/filbertstep/entry/_callers.py
+++ b/filbertstep/entry/_callers.py
@@ -63,7 +63,7 @@
         """Note when a request arrived, and start it early if it may."""
         pipeline = self.pipelines.open(connection)
         pipeline.requests[id(message)] = _pipelines.PipelinedRequest(
-            message, self.clock.now(), not payload.is_eof()
+            message, self.clock.now(), _connections.announces_body(payload)
         )
         self.start_early(connection, pipeline)
 
@@ -102,6 +102,7 @@
                     call.request_id, request.arrived_at
                 )
                 self.running.add(running)
+                self.state.log.write('early_start', id=call.request_id)
                 pipeline.early_runs[id(request.message)] = _pipelines.EarlyRun(
                     call,
                     running,
--- a/filbertstep/entry/_connections.py
+++ b/filbertstep/entry/_connections.py
@@ -613,6 +613,16 @@
     return id(request._message)
 
 
+def announces_body(payload: streams.StreamReader) -> bool:
+    """Return whether the head of a request announces a body.
+
+    Unlike the end of the payload, this does not depend on how much has arrived
+    (RFC 9112, section 6.3).  The parser shares one empty payload among the
+    requests whose heads announce none.
+    """
+    return payload is not streams.EMPTY_PAYLOAD
+
+
 def is_readable(descriptor: int) -> bool:
     """Return whether a socket has data to read or a connection to accept."""
     poller = select.poll()
--- a/filbertstep/entry/_pipelines.py
+++ b/filbertstep/entry/_pipelines.py
@@ -34,6 +34,7 @@
     """An unanswered request whose head was read; ``arrived_at`` is VM time.
 
     ``message`` also keeps the identity, under which it is found, unique.
+    ``has_body`` is what the head announces, whether or not the body arrived.
     """
 
     message: http_parser.RawRequestMessage
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -392,6 +392,7 @@
             warm=candidate.cached,
             estimate_s=round(candidate.estimate_s, 3),
             took_s=round(took_s, 3),
+            body_bytes=sent_bytes,
             in_progress=server.in_progress,
             others=round(server.current_other_vm_requests(now), 2),
             load=load_report,
--- a/tests/test_entry_pipelines.py
+++ b/tests/test_entry_pipelines.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import json
+import socket
 import typing
 import unittest
 from unittest import mock
@@ -133,6 +134,101 @@
         self.assertEqual(log.write.call_args.args, ('internal_error',))
 
 
+class TestBodies(test_entry_bodies.ListenerCase):
+    """Bodies of requests that are sent before earlier ones are answered."""
+
+    METHODS = ('PUT', 'DELETE', 'GET')
+
+    def request(self, method: str, body: bytes, chunked: bool) -> bytes:
+        """Return a request with a body."""
+        if chunked:
+            # Two chunks, and the last one.
+            framing = 'Transfer-Encoding: chunked'
+            content = b''.join(
+                b'%x\r\n%b\r\n' % (len(part), part)
+                for part in (body[:2], body[2:], b'')
+            )
+        else:
+            framing, content = f'Content-Length: {len(body)}', body
+        return (
+            f'{method} /stock/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            f'{framing}\r\nX-Deadline-Ms: 9000\r\n\r\n'
+        ).encode() + content
+
+    async def bodies(self, segments: list[bytes], count: int) -> list[bytes]:
+        """Send segments one by one; return the bodies of all requests."""
+        self.handler.bodies.clear()
+        self.handler.answering.clear()
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+        )
+        for segment in segments:
+            writer.write(segment)
+            await asyncio.sleep(0.01)
+        self.handler.answering.set()
+        for _ in range(count):
+            self.assertEqual(await self.status(reader), 200)
+            await reader.readuntil(b'done')
+        return list(self.handler.bodies)
+
+    async def test_bodies_arrive_however_they_are_sent(self) -> None:
+        """Guards against a request that runs with an empty body.
+
+        A body may have arrived whole together with its head, and nobody has
+        read it yet.
+        """
+        sent = [b'first', b'second', b'third']
+        for method in self.METHODS:
+            for chunked in (False, True):
+                requests = [
+                    self.request(method, body, chunked) for body in sent
+                ]
+                stream = b''.join(requests)
+                head_bytes = len(requests[0]) + requests[1].index(b'\r\n\r\n')
+                for segments in (
+                    [stream],
+                    requests,
+                    [stream[: head_bytes + 4], stream[head_bytes + 4 :]],
+                    [stream[: head_bytes + 6], stream[head_bytes + 6 :]],
+                    [requests[0] + requests[1], requests[2]],
+                ):
+                    with self.subTest(
+                        method=method, chunked=chunked, parts=len(segments)
+                    ):
+                        self.assertEqual(
+                            await self.bodies(segments, len(sent)), sent
+                        )
+
+    async def test_requests_behind_a_body_wait(self) -> None:
+        """Guards against an order that depends on the segments of a body."""
+        with_body = self.request('PUT', b'first', False)
+        bodyless = request_head('b')
+        for segments in (
+            [with_body + bodyless],
+            [with_body[:-2], with_body[-2:] + bodyless],
+        ):
+            with self.subTest(parts=len(segments)):
+                self.assertEqual(
+                    await self.bodies(segments, 2), [b'first', b'']
+                )
+
+    async def test_requests_without_a_body_start_early(self) -> None:
+        """Guards against a length of 0 that counts as a body."""
+        empty = self.request('PUT', b'', False)
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(empty + request_head('b') + empty)
+        async with asyncio.timeout(test_entry_bodies.MAX_WAIT_S):
+            while len(self.handler.bodies) < 3:
+                await asyncio.sleep(0.01)
+        self.handler.answering.set()
+        for _ in range(3):
+            self.assertEqual(await self.status(reader), 200)
+            await reader.readuntil(b'done')
+
+
 class TestPipelinedRequests(test_entry_stop.StopCase):
     """A VM whose caller does not wait for answers."""
 
