Order the values of a key as their writer wrote them

Cause: within an era of the store, the replica ordered the values of a key by revision. A write without an answer may be executed seconds later, so a beat from before a server's draining came after it and made the server ready.

Evidence: a VM's server line turns from draining to ready 1.7 s later, when the store executes the late beat, and back 1.1 s after that; requests are tried in between. Held-up requests and a placement that ignores draining are ruled out by the tries before it.

Change: born and seq_no of servers and the version of the configuration decide wherever they are told, in and between eras, for listings, watches and relays. A value that may be late or else be of a sound restart, because of a clock that went back or after a removal, is held until it cannot be late.

--- a/filbertstep/entry/_program.py
+++ b/filbertstep/entry/_program.py
@@ -280,14 +280,15 @@
     async def tick(self) -> None:
         """Run periodic work in an endless loop.
 
-        Applies held deletions, adjusts the split over regions, dispatches
-        waiting requests, notes the end of overloads, closes connections that
-        exceed a time, and flushes the log.
+        Applies held deletions and values, adjusts the split over regions,
+        dispatches waiting requests, notes the end of overloads, closes
+        connections that exceed a time, and flushes the log.
         """
         loop = asyncio.get_running_loop()
         while True:
             now = self.clock.now()
             self.state.replica.apply_held_deletions(now)
+            self.state.replica.apply_refused(now)
             for service in self.state.regions.tick(now):
                 split = self.state.regions.splits[service]
                 self.log.write(
--- a/filbertstep/entry/_state.py
+++ b/filbertstep/entry/_state.py
@@ -84,7 +84,7 @@
         self.stop = _stopping.Stop()
         self.members = _membership.MemberTable()
         self.replica = _knowledge.StoreReplica(
-            self.apply_change, KeyRules(decoder)
+            self.apply_change, KeyRules(decoder), self.note_refused
         )
         self.servers = steering.ServerTable(settings.region_by_zone)
         self.placement = steering.Placement(
@@ -190,6 +190,31 @@
                 decoded_value = decoded.ok_value
         apply(parsed_key, decoded_value)
 
+    def note_refused(
+        self, change: _contracts.Change, precedence: _knowledge.Precedence
+    ) -> None:
+        """Log a value of the store that is not used, as it may be old.
+
+        If it is the beginning of a new start after all, the server is cold.
+        """
+        held = precedence is _knowledge.Precedence.UNCONFIRMED
+        self.log.write(
+            'late_value',
+            key=change.key,
+            revision=change.revision,
+            held=held,
+        )
+        if not held or change.value is None:
+            return
+        decoded = self.decoder.decode(change.key, change.value).ok()
+        server = self.servers.by_id.get(
+            self.decoder.parse_key(change.key).name
+        )
+        if server is not None and isinstance(decoded, steering.ServerEntry):
+            server.cold_until = max(
+                server.cold_until, self.clock.now() + decoded.cold_left_s
+            )
+
     def log_member(self, change: _contracts.Change) -> None:
         """Log a change of the key that makes look-ups name a VM."""
         if not change.key.startswith(_membership.VM_PREFIX):
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -12,13 +12,16 @@
 
 from filbertstep import clock
 from filbertstep import entry
+from filbertstep import platform
 from filbertstep.entry import _knowledge
 from filbertstep.entry import _log
 from filbertstep.entry import _membership
 from filbertstep.entry import _peers
+from filbertstep.entry import _state
 from filbertstep.entry import _supervision
 from filbertstep.entry import _sync
 from filbertstep.platform import _store
+from tests import entry_samples
 from tests import platform_store
 from tests import steering_samples as samples
 
@@ -204,6 +207,300 @@
         self.assertEqual({item.key for item in found}, {'b', 'c'})
 
 
+class TestLateWrites(unittest.TestCase):
+    """Values that the store writes after newer ones of the same writer.
+
+    A value is the writer's start and the number of the value.
+    """
+
+    def setUp(self) -> None:
+        """Create an empty replica that records what it refuses."""
+        self.refused: list[entry.Change] = []
+        self.replica = self.build_replica()
+        self.revision = 0
+
+    def build_replica(self) -> _knowledge.StoreReplica:
+        """Return an empty replica."""
+        return _knowledge.StoreReplica(
+            lambda _: None,
+            SampleRules(),
+            lambda change, _: self.refused.append(change),
+        )
+
+    def write(
+        self,
+        value: bytes | None,
+        now: float,
+        key: str = 's/1',
+        replica: _knowledge.StoreReplica | None = None,
+    ) -> None:
+        """Let the replica read a value that the store has just written."""
+        self.revision += 1
+        (replica or self.replica).apply(
+            entry.ChangeBatch(
+                (change(key, self.revision, value),), self.revision
+            ),
+            now,
+            now,
+        )
+
+    def value(
+        self, key: str = 's/1', replica: _knowledge.StoreReplica | None = None
+    ) -> bytes | None:
+        """Return the known value of a key."""
+        item = (replica or self.replica).items.get(key)
+        return item.value if item else None
+
+    def test_older_value_of_the_same_start(self) -> None:
+        """Guards against a late beat that makes a leaving server ready."""
+        self.write(b'5 7', 0.0)
+        for at, read in enumerate((1.0, 3.0, 20.0)):
+            self.write(b'5 6', read)
+            self.assertEqual(self.value(), b'5 7')
+            self.assertEqual(len(self.refused), at + 1)
+        self.replica.replace(
+            entry.ChangeBatch(
+                (change('s/1', self.revision, b'5 6'),), self.revision
+            ),
+            21.0,
+            21.0,
+        )
+        self.replica.apply_refused(100.0)
+        self.assertEqual(self.value(), b'5 7')
+        self.write(b'5 8', 100.0)
+        self.assertEqual(self.value(), b'5 8')
+        self.write(None, 103.0)
+        self.assertIsNone(self.value())
+
+    def test_value_after_a_removal(self) -> None:
+        """Guards against a late beat that brings a removed server back.
+
+        The last numbers before the removal need not have been read.
+        """
+        for late in (b'5 6', b'5 7', b'5 9'):
+            with self.subTest(late=late):
+                self.setUp()
+                self.write(b'5 7', 0.0)
+                self.write(None, 1.0)
+                self.write(late, 2.0)
+                self.assertIsNone(self.value())
+                # The entry lapses, as nobody writes it again.
+                self.write(None, 6.5)
+                self.replica.apply_refused(100.0)
+                self.assertIsNone(self.value())
+
+    def test_server_that_was_silent_is_used_again(self) -> None:
+        """Guards against a sound server that stays out after a removal."""
+        for late_read in (True, False):
+            with self.subTest(late_read=late_read):
+                self.setUp()
+                self.write(b'5 7', 0.0)
+                self.write(None, 1.0)
+                self.write(b'5 8', 2.0)
+                if late_read:
+                    # The store has nothing newer, and the entry has not
+                    # lapsed.
+                    self.replica.apply_refused(13.1)
+                    self.assertEqual(self.value(), b'5 8')
+                else:
+                    self.write(b'5 9', 8.1)
+                    self.assertEqual(self.value(), b'5 9')
+        self.setUp()
+        self.write(b'5 7', 0.0)
+        self.write(None, 1.0)
+        self.write(b'5 12', 8.1)
+        self.assertEqual(self.value(), b'5 12')
+
+    def test_value_of_an_earlier_start(self) -> None:
+        """Guards against a late beat that hides a restart."""
+        self.write(b'4 7', 0.0)
+        self.write(b'5 1', 1.0)
+        self.write(b'4 8', 2.0)
+        self.assertEqual(self.value(), b'5 1')
+        self.write(b'5 2', 3.0)
+        self.replica.apply_refused(100.0)
+        self.assertEqual(self.value(), b'5 2')
+
+    def test_restart_after_a_removal_is_used_at_once(self) -> None:
+        """Guards against a sound restart that waits."""
+        self.write(b'5 7', 0.0)
+        self.write(None, 1.0)
+        self.write(b'6 1', 1.5)
+        self.assertEqual(self.value(), b'6 1')
+
+    def test_clock_of_a_server_that_went_back(self) -> None:
+        """Guards against a restarted server that is never known."""
+        for removed in (False, True):
+            with self.subTest(removed=removed):
+                self.setUp()
+                self.write(b'5 7', 0.0)
+                if removed:
+                    self.write(None, 0.0)
+                self.write(b'4 1', 3.0)
+                self.write(b'4 2', 4.5)
+                self.write(b'4 3', 7.5)
+                self.assertEqual(self.value(), b'4 3')
+        self.setUp()
+        self.write(b'5 7', 0.0)
+        self.write(b'4 1', 3.0)
+        self.replica.apply_refused(11.9)
+        self.assertEqual(self.value(), b'5 7')
+        self.replica.apply_refused(12.1)
+        self.assertEqual(self.value(), b'4 1')
+
+    def test_servers_that_do_not_tell_their_start(self) -> None:
+        """Guards against late beats, and against a restart that stays out."""
+        self.write(b'0 7', 0.0)
+        self.write(b'0 6', 1.0)
+        self.assertEqual(self.value(), b'0 7')
+        self.write(b'0 8', 2.0)
+        self.assertEqual(self.value(), b'0 8')
+        self.write(b'0 1', 10.0)
+        self.assertEqual(self.value(), b'0 1')
+
+    def test_value_of_another_writer_keeps_the_order(self) -> None:
+        """Guards against an odd entry after which any late beat counts."""
+        for odd in (b'?', b'0 99'):
+            with self.subTest(odd=odd):
+                self.setUp()
+                self.write(b'5 7', 0.0)
+                self.write(odd, 1.0)
+                self.write(b'5 6', 2.0)
+                self.assertEqual(self.value(), odd)
+                self.write(b'5 8', 3.0)
+                self.assertEqual(self.value(), b'5 8')
+
+    def test_older_configuration(self) -> None:
+        """Guards against a late write that VMs which start would follow."""
+        self.write(b'0 7', 0.0, 'c')
+        self.write(b'0 6', 30.0, 'c')
+        self.replica.apply_refused(100.0)
+        self.assertEqual(self.value('c'), b'0 7')
+        self.write(b'0 8', 100.0, 'c')
+        self.assertEqual(self.value('c'), b'0 8')
+
+    def test_vm_that_has_read_a_late_write_learns_from_a_peer(self) -> None:
+        """Guards against a VM that starts between a value and a late one."""
+        for removed in (False, True):
+            for partial in (False, True):
+                with self.subTest(removed=removed, partial=partial):
+                    self.setUp()
+                    self.write(b'5 7', 0.0)
+                    if removed:
+                        self.write(None, 0.5)
+                    started = self.build_replica()
+                    self.write(b'5 6', 1.0, replica=started)
+                    self.assertEqual(self.value(replica=started), b'5 6')
+                    self.revision -= 1
+                    self.write(b'5 6', 1.0)
+                    changes, _ = self.replica.changes_since(
+                        started.position if partial else _knowledge.START
+                    )
+                    started.receive(
+                        entry.ChangeBatch(tuple(changes), self.revision),
+                        partial,
+                        1.5,
+                        1.5,
+                        1.5,
+                    )
+                    self.assertEqual(
+                        self.value(replica=started),
+                        None if removed else b'5 7',
+                    )
+
+    def test_follower_decides_by_itself(self) -> None:
+        """Guards against followers that never use a server that is back."""
+        follower = self.build_replica()
+
+        def follow(now: float) -> None:
+            changes, partial = self.replica.changes_since(follower.position)
+            follower.receive(
+                entry.ChangeBatch(tuple(changes), self.revision),
+                partial,
+                now,
+                now,
+                now,
+            )
+
+        self.write(b'5 7', 0.0)
+        follow(0.1)
+        self.write(None, 1.0)
+        follow(1.1)
+        self.write(b'5 8', 2.0)
+        for now in (2.1, 2.5, 9.0, 9.9):
+            follow(now)
+            self.assertIsNone(self.value(replica=follower))
+        self.replica.apply_refused(13.1)
+        follower.apply_refused(14.2)
+        self.assertEqual(self.value(replica=follower), b'5 8')
+
+
+class TestLateServerEntries(unittest.TestCase):
+    """What a VM believes of servers whose entries the store writes late."""
+
+    def setUp(self) -> None:
+        """Build the state of one VM."""
+        self.clock = clock.FakeClock()
+        self.state = _state.State(
+            entry_samples.settings(),
+            platform.PlatformAdapter('').decoder(),
+            self.clock,
+            make_log(self.clock),
+        )
+        self.revision = 0
+
+    def write(
+        self, born: int, number: int, state: str, cold_left_ms: int = 0
+    ) -> None:
+        """Read an entry that the store has just written."""
+        self.revision += 1
+        value = {
+            'address': '10.128.0.9:8080',
+            'born': born,
+            'info': {
+                'service': 'orders',
+                'version': 'v1',
+                'zone': 'hobart-a',
+                'slots': 3,
+            },
+            'status': {
+                'state': state,
+                'seq_no': number,
+                'cold_left_ms': cold_left_ms,
+            },
+        }
+        now = self.clock.now()
+        self.state.replica.apply(
+            entry.ChangeBatch(
+                (
+                    change(
+                        'servers/i-1',
+                        self.revision,
+                        json.dumps(value).encode(),
+                    ),
+                ),
+                self.revision,
+            ),
+            now,
+            now,
+        )
+
+    def test_a_draining_server_stays_so(self) -> None:
+        """Guards against requests to a server that is about to exit."""
+        self.write(5, 7, 'ready')
+        self.write(5, 9, 'draining')
+        self.write(5, 8, 'ready')
+        self.assertTrue(self.state.servers.by_id['i-1'].is_leaving())
+
+    def test_a_possible_restart_is_cold(self) -> None:
+        """Guards against a cold server that gets the rate of a warm one."""
+        self.write(5, 7, 'ready')
+        self.write(4, 1, 'ready', cold_left_ms=4000)
+        server = self.state.servers.by_id['i-1']
+        self.assertEqual(server.entry.incarnation, 5)
+        self.assertTrue(server.is_cold(self.clock.now() + 3.9))
+
+
 class TestRestoredReplica(unittest.TestCase):
     """The replica of a store that is restored from an older copy."""
 
