Count a crash of a server as one strike

Cause: a strike stood for a connection that broke, so one crash that broke three connections of equal requests reached the limit of three crashes.

Evidence: on the code before, three strike lines within 0.7 ms are followed by the quarantine; with the new fields, all four name one start of one server and stand for four ids with one try each. Several crashes, retries and strikes of other VMs are ruled out by that.

Change: a strike stands for a crash, told by the server, its start and the time of the run, and crashes are counted over the rows of all VMs. Numbers and fields that VMs of the former version read are unchanged, and each strike in their rows still counts. filbertstep-node counts in the same way and sends the crashes in a heartbeat part of their own.

--- a/filbertstep/_node.py
+++ b/filbertstep/_node.py
@@ -245,6 +245,7 @@
             self.token_buckets,
             self.slots,
             self.shift,
+            routing.CrashesPart(self.quarantine),
             self.quarantine,
         ]
         for part in parts:
--- a/filbertstep/_quarantine.py
+++ b/filbertstep/_quarantine.py
@@ -1,13 +1,16 @@
 """Quarantine of requests that crash backend servers.
 
-A request gets a strike if the connection to the backend server broke while
-the request ran.  The caller may resend it to any VM, so strikes are summed
-over all VMs: each VM publishes the strikes that it counted itself.  Strikes
-are kept by client account, so that no account can get another's requests
-refused.
+A request gets a strike for each crash of a backend server that ran it.  One
+crash breaks the connections of all requests at the server, of equal ones and
+of those of other VMs too, and counts once.  The caller may resend a request to
+any VM, so each VM publishes the crashes that it saw itself, and crashes are
+counted over all VMs.  Strikes are kept by client account, so that no account
+can get another's requests refused.
 """
 
+import collections
 import collections.abc
+import itertools
 import math
 import typing
 
@@ -37,12 +40,41 @@
 # Limits the share of one account in a heartbeat.
 MAX_SENT_FINGERPRINTS_PER_ACCOUNT: typing.Final = 4
 
+# A crashed server needs at least this time to start again.
+MIN_RESTART_S: typing.Final = 2.0
+
+# Crashes in one row that tell their server.  More than any limit of strikes.
+MAX_IDENTIFIED_CRASHES: typing.Final = 8
+
 Fingerprint = str
 
 QuarantineCallback = collections.abc.Callable[[str, Fingerprint], None]
 """Called with account and fingerprint when a quarantine begins."""
 
 
+class Crash(typing.NamedTuple):
+    """A connection that broke, as a sign that a server crashed.
+
+    ``incarnation`` tells the starts of a server apart; 0 if it is not told.
+    The server ran the request at some time between ``sent_at`` and
+    ``broke_at``.
+    """
+
+    server: str
+    incarnation: int
+    sent_at: float
+    broke_at: float
+
+
+class CrashDoc(typing.TypedDict):
+    """A crash as sent between VMs; the ages are in seconds."""
+
+    server: str
+    incarnation: int
+    sent_age_s: float
+    broke_age_s: float
+
+
 class StrikeDoc(typing.TypedDict):
     """The strikes against a fingerprint that one VM counted itself.
 
@@ -55,17 +87,34 @@
     age_s: float
 
 
+class CrashesDoc(StrikeDoc):
+    """Strikes with their newest crashes.
+
+    VMs of an earlier version send no crashes, and ignore them.
+    """
+
+    crashes: typing.NotRequired[list[CrashDoc]]
+
+
 class StrikesDoc(typing.TypedDict):
     """Heartbeat payload: the strikes that one VM counted itself."""
 
-    strikes: list[StrikeDoc]
+    strikes: list[CrashesDoc]
 
 
 class StrikeCount(typing.NamedTuple):
-    """Strikes counted by one VM process; ``last_at`` is the newest."""
+    """Strikes counted by one VM process; ``last_at`` is the newest.
+
+    ``crashes`` are the newest ones whose servers are known.
+    """
 
     strikes: int
     last_at: float
+    crashes: tuple[Crash, ...] = ()
+
+    def unidentified(self) -> int:
+        """Return the strikes whose crashes are not known."""
+        return max(0, self.strikes - len(self.crashes))
 
 
 class FingerprintStrikes:
@@ -81,8 +130,12 @@
         self.cleared_at = -math.inf
 
     def total(self) -> int:
-        """Return the strikes of all VMs."""
-        return sum(counted.strikes for counted in self.counts.values())
+        """Return the strikes of all VMs; a crash that several saw is one."""
+        return count_crashes(
+            crash
+            for counted in self.counts.values()
+            for crash in counted.crashes
+        ) + sum(counted.unidentified() for counted in self.counts.values())
 
     def last_at(self) -> float:
         """Return the time of the newest strike, or of the last clearing."""
@@ -92,6 +145,30 @@
         )
 
 
+def count_crashes(crashes: collections.abc.Iterable[Crash]) -> int:
+    """Return how many crashes explain all connections that broke.
+
+    A start of a server crashes once at most.  Where starts are not told, the
+    server had to be back before it could run another request.
+    """
+    by_start: dict[tuple[str, int], list[Crash]] = collections.defaultdict(
+        list
+    )
+    for crash in crashes:
+        by_start[crash.server, crash.incarnation].append(crash)
+    count = 0
+    for (_, incarnation), broken in by_start.items():
+        if incarnation:
+            count += 1
+            continue
+        crashed_at = -math.inf
+        for crash in sorted(broken, key=lambda crash: crash.broke_at):
+            if crash.sent_at >= crashed_at + MIN_RESTART_S:
+                count += 1
+                crashed_at = crash.broke_at
+    return count
+
+
 def request_fingerprint(
     account: str | None, method: str, path: str, body: bytes
 ) -> Fingerprint:
@@ -154,15 +231,30 @@
                 del self.strikes_by_account[account]
 
     def record_strike(
-        self, account: str | None, fingerprint: Fingerprint, now: float
-    ) -> None:
-        """Count a strike of this VM against a request."""
+        self,
+        account: str | None,
+        fingerprint: Fingerprint,
+        now: float,
+        crash: Crash | None = None,
+    ) -> bool:
+        """Count a strike of this VM against a request.
+
+        Returns False if another connection has told this VM of the crash.
+        """
         row = self.strikes_of(account or '', fingerprint)
-        known = row.counts.get(self.process)
-        count = 1 if known is None else known.strikes + 1
+        known = row.counts.get(self.process, StrikeCount(0, now))
+        crashes = known.crashes
+        if crash is not None:
+            if count_crashes((*crashes, crash)) == count_crashes(crashes):
+                return False
+            crashes = (*crashes, crash)[-MAX_IDENTIFIED_CRASHES:]
         self.merge(
-            account or '', fingerprint, self.process, StrikeCount(count, now)
+            account or '',
+            fingerprint,
+            self.process,
+            StrikeCount(known.strikes + 1, now, crashes),
         )
+        return True
 
     def quarantine_left_s(
         self, account: str | None, fingerprint: Fingerprint, now: float
@@ -230,28 +322,54 @@
             self.on_quarantine(account, fingerprint)
 
     def payload(self, now: float) -> dict[str, typing.Any]:
-        """Return the newest of this VM's own strikes, limited by account."""
-        own = [
-            doc
-            for account, rows in self.strikes_by_account.items()
-            for doc in self.own_strikes(account, rows, now)
-        ]
+        """Return the newest of this VM's own strikes, limited by account.
+
+        Peers of an earlier version take these fields only.
+        """
+        return {
+            'strikes': [
+                {
+                    name: value
+                    for name, value in doc.items()
+                    if name in StrikeDoc.__annotations__
+                }
+                for doc in self.own_strikes(now)
+            ]
+        }
+
+    def own_strikes(self, now: float) -> list[CrashesDoc]:
+        """Return the newest of this VM's own strikes with their crashes."""
+        own = list(
+            itertools.chain.from_iterable(
+                self.account_strikes(account, rows, now)
+                for account, rows in self.strikes_by_account.items()
+            )
+        )
         own.sort(key=lambda doc: doc['age_s'])
-        return {'strikes': own[: self.max_sent]}
+        return own[: self.max_sent]
 
-    def own_strikes(
+    def account_strikes(
         self,
         account: str,
         rows: dict[Fingerprint, FingerprintStrikes],
         now: float,
-    ) -> list[StrikeDoc]:
+    ) -> list[CrashesDoc]:
         """Return the newest of this VM's own strikes of one account."""
-        docs: list[StrikeDoc] = [
+        docs: list[CrashesDoc] = [
             {
                 'account': account,
                 'fingerprint': fingerprint,
                 'strikes': own.strikes,
-                'age_s': round(max(0.0, now - own.last_at), 3),
+                'age_s': age_s(own.last_at, now),
+                'crashes': [
+                    {
+                        'server': crash.server,
+                        'incarnation': crash.incarnation,
+                        'sent_age_s': age_s(crash.sent_at, now),
+                        'broke_age_s': age_s(crash.broke_at, now),
+                    }
+                    for crash in own.crashes
+                ],
             }
             for fingerprint, row in rows.items()
             if (own := row.counts.get(self.process)) is not None
@@ -272,8 +390,54 @@
             return
         for doc in decoded.ok_value['strikes'][: self.max_sent]:
             if 0 <= doc['age_s'] < self.quarantine_s and doc['strikes'] > 0:
-                counted = StrikeCount(doc['strikes'], now - doc['age_s'])
+                counted = StrikeCount(
+                    doc['strikes'],
+                    now - doc['age_s'],
+                    tuple(
+                        Crash(
+                            crash['server'],
+                            crash['incarnation'],
+                            now - crash['sent_age_s'],
+                            now - crash['broke_age_s'],
+                        )
+                        for crash in doc.get('crashes', [])[
+                            :MAX_IDENTIFIED_CRASHES
+                        ]
+                    ),
+                )
                 process = f'{vm}~{incarnation}'
                 self.merge(
                     doc['account'], doc['fingerprint'], process, counted
                 )
+
+
+class CrashesPart(systems.HeartbeatPart):
+    """Sends strikes with their crashes, which earlier versions do not take.
+
+    It is sent before the part of the quarantine itself, which then adds
+    nothing.
+    """
+
+    part_name = 'crashes'
+
+    def __init__(self, quarantine: QuarantineSystem) -> None:
+        self.quarantine = quarantine
+
+    def payload(self, now: float) -> dict[str, typing.Any]:
+        """Return the newest of this VM's own strikes."""
+        return {'strikes': self.quarantine.own_strikes(now)}
+
+    def receive(
+        self,
+        vm: str,
+        incarnation: str,
+        payload: dict[str, typing.Any],
+        now: float,
+    ) -> None:
+        """Merge the strikes of a peer; an invalid payload is ignored."""
+        self.quarantine.receive(vm, incarnation, payload, now)
+
+
+def age_s(at: float, now: float) -> float:
+    """Return the age of an event for a message."""
+    return round(max(0.0, now - at), 3)
--- a/filbertstep/_tries.py
+++ b/filbertstep/_tries.py
@@ -305,7 +305,7 @@
         # many callers send would be quarantined.
         crashed = outcome.kind is delivery.ForwardOutcomeKind.BROKEN
         if crashed and outcome.status == 0:
-            self.record_strike(progress.job)
+            self.record_strike(progress.job, assignment, started_at)
         if (
             rule.next_step is _try_state.NextStep.RETRY_OTHER_SERVER
             and outcome.sent
@@ -371,12 +371,20 @@
             is not None
         )
 
-    def record_strike(self, job: _try_state.Job) -> None:
+    def record_strike(
+        self,
+        job: _try_state.Job,
+        assignment: routing.Assignment,
+        started_at: float,
+    ) -> None:
         """Record that a connection broke while the request ran."""
+        now = self.clock.now()
         self.quarantine.record_strike(
             job.admitted.account,
             self.quarantine_fingerprint(job),
-            self.clock.now(),
+            now,
+            # The configuration does not tell the starts of a server.
+            routing.Crash(assignment.server.name, 0, started_at, now),
         )
 
     async def end_not_run(
--- a/filbertstep/entry/_requests.py
+++ b/filbertstep/entry/_requests.py
@@ -289,14 +289,16 @@
         body: bytes,
         finished: list[_tries.FinishedAttempt],
     ) -> None:
-        """Record a strike for each attempt whose connection broke unanswered.
+        """Record the crashes that connections without an answer tell of.
 
         A successful answer is recorded too and clears earlier strikes.
         """
         for attempt in finished:
             outcome = attempt.outcome
             if outcome.kind is OutcomeKind.BROKEN and not outcome.status:
-                self.state.strikes.record_strike(admitted, body)
+                self.state.strikes.record_strike(
+                    admitted, body, attempt.crash()
+                )
             elif _tries.is_success(outcome):
                 self.state.strikes.record_answer(admitted, body)
 
--- a/filbertstep/entry/_strikes.py
+++ b/filbertstep/entry/_strikes.py
@@ -1,7 +1,8 @@
 """Quarantines requests that crash backend servers.
 
-A request whose connection to a server broke before any answer gets a strike;
-enough strikes without an answer in between quarantine the request.  Its caller
+A request whose connection to a server broke before any answer gets a strike,
+one for each crash of a server; enough strikes without an answer in between
+quarantine the request.  Its caller
 may send it to any VM, so each VM writes its strikes to the store, from which
 the other VMs read them with everything else.
 
@@ -28,16 +29,16 @@
 
 STRIKES_PREFIX: typing.Final = 'strikes/'
 
-# A server that ends for another reason breaks the connections of many harmless
-# requests, so two strikes are too few.
+# Servers also end for other reasons while they run harmless requests, so two
+# strikes are too few.
 QUARANTINE_STRIKES: typing.Final = 3
 
 # Counted from the last strike.  A caller that gives up and returns later gets
 # another chance.
 QUARANTINE_S: typing.Final = 120.0
 
-# Requests in one value of a key, of all accounts and of one.  A value takes up
-# to about 14 KB.
+# Requests in one value of a key, of all accounts and of one.  With three
+# crashes each, a value takes up to about 50 KB.
 MAX_WRITTEN_REQUESTS: typing.Final = 128
 MAX_WRITTEN_REQUESTS_PER_ACCOUNT: typing.Final = 32
 
@@ -51,7 +52,7 @@
     """Value of ``strikes/NAME/INCARNATION``; it identifies the process."""
 
     incarnation: str
-    strikes: list[routing.StrikeDoc]
+    strikes: list[routing.CrashesDoc]
 
 
 class StrikeTable:
@@ -94,18 +95,26 @@
             self.clock.now(),
         )
 
-    def record_strike(self, admitted: _messages.Admitted, body: bytes) -> None:
-        """Record a connection that broke before any answer."""
+    def record_strike(
+        self, admitted: _messages.Admitted, body: bytes, crash: routing.Crash
+    ) -> None:
+        """Record a connection that broke before any answer.
+
+        It is no strike if another one has told of the same crash.
+        """
         name = request_fingerprint(admitted, body)
-        self.quarantine.record_strike(
-            account_name(admitted), name, self.clock.now()
+        counted = self.quarantine.record_strike(
+            account_name(admitted), name, self.clock.now(), crash
         )
-        self.unwritten = True
+        self.unwritten |= counted
         self.log.write(
             'strike',
             id=admitted.call.request_id,
             account=account_name(admitted),
             request=name,
+            server=crash.server,
+            incarnation=crash.incarnation,
+            counted=counted,
         )
 
     def record_answer(self, admitted: _messages.Admitted, body: bytes) -> None:
@@ -157,7 +166,7 @@
         )
 
     def log_key(
-        self, change: _contracts.Change, strikes: list[routing.StrikeDoc]
+        self, change: _contracts.Change, strikes: list[routing.CrashesDoc]
     ) -> None:
         """Log a change of a ``strikes/`` key, and the requests in it."""
         self.log.write(
@@ -172,7 +181,7 @@
         """Return this VM's own strikes as stored under its key."""
         return {
             'incarnation': self.incarnation,
-            'strikes': self.quarantine.payload(self.clock.now())['strikes'],
+            'strikes': self.quarantine.own_strikes(self.clock.now()),
         }
 
 
--- a/filbertstep/entry/_tries.py
+++ b/filbertstep/entry/_tries.py
@@ -6,6 +6,7 @@
 from filbertstep import delivery
 from filbertstep import errors
 from filbertstep import metrics
+from filbertstep import routing
 from filbertstep import steering
 from filbertstep.entry import _contracts
 from filbertstep.entry import _log
@@ -32,10 +33,19 @@
 
 
 class FinishedAttempt(typing.NamedTuple):
-    """A finished attempt at one server."""
+    """A finished attempt at one server, and its times on the VM's clock."""
 
     candidate: steering.Candidate
     outcome: delivery.ForwardOutcome
+    sent_at: float
+    ended_at: float
+
+    def crash(self) -> routing.Crash:
+        """Return the crash that a broken connection is a sign of."""
+        entry = self.candidate.server.entry
+        return routing.Crash(
+            entry.server_id, entry.incarnation, self.sent_at, self.ended_at
+        )
 
 
 class RunningAttempt(typing.NamedTuple):
@@ -273,7 +283,7 @@
                 id=attempt.request_id,
                 **running.log_fields(self.state.stop.begun_at),
             )
-        return FinishedAttempt(candidate, outcome)
+        return FinishedAttempt(candidate, outcome, sent_at, self.clock.now())
 
     def forget_running(self, request_id: str, running: RunningAttempt) -> None:
         """Remove an attempt that has ended."""
--- a/tests/test_routing_quarantine.py
+++ b/tests/test_routing_quarantine.py
@@ -79,6 +79,61 @@
         self.assertIsNone(first.quarantine_left_s('bakery', 'f', 60.0))
         self.assertIsNone(second.quarantine_left_s('bakery', 'f', 60.0))
 
+    def test_a_crash_counts_once(self) -> None:
+        """Guards against a quarantine of what one crash has broken off.
+
+        Where starts are not told, the time between two requests tells whether
+        the server can have started again.
+        """
+        for starts, sent, expected in (
+            ('111', (0.0, 1.0, 30.0), 1),
+            ('112', (0.0, 1.0, 1.0), 2),
+            ('000', (0.0, 1.0, 1.5), 1),
+            ('000', (0.0, 6.0, 12.0), 3),
+            # Broke at 4 and at 10: the second can have run from 3 on only.
+            ('00', (3.0, 5.9), 1),
+            ('00', (3.0, 6.1), 2),
+        ):
+            with self.subTest(starts=starts, sent=sent):
+                crashes = [
+                    routing.Crash('s', int(start), at, max(4.0, at + 0.5))
+                    for start, at in zip(starts, sent, strict=True)
+                ]
+                first = routing.QuarantineSystem('vm-1', 'a', expected + 1)
+                second = routing.QuarantineSystem('vm-2', 'b', expected)
+                for crash in crashes:
+                    first.record_strike('a', 'f', 40.0, crash)
+                    second.record_strike('a', 'f', 40.0, crash)
+                part = routing.CrashesPart(first)
+                for system in (first, second):
+                    routing.CrashesPart(system).receive(
+                        'vm-1', 'a', part.payload(40.0), 40.0
+                    )
+                    system.receive('vm-1', 'a', first.payload(40.0), 40.0)
+                self.assertIsNone(first.quarantine_left_s('a', 'f', 40.0))
+                self.assertIsNotNone(second.quarantine_left_s('a', 'f', 40.0))
+
+    def test_vms_that_see_one_crash(self) -> None:
+        """Guards against one crash that counts once for each VM."""
+        systems = [routing.QuarantineSystem(f'vm-{n}', 'a') for n in range(3)]
+        for system in systems:
+            crash = routing.Crash('s', 0, 1.0, 2.0)
+            system.record_strike('a', 'f', 2.0, crash)
+        for number, sender in enumerate(systems):
+            for system in systems:
+                if system is not sender:
+                    for part in (routing.CrashesPart(sender), sender):
+                        part_of_receiver = (
+                            system
+                            if part is sender
+                            else routing.CrashesPart(system)
+                        )
+                        part_of_receiver.receive(
+                            f'vm-{number}', 'a', part.payload(3.0), 3.0
+                        )
+        for system in systems:
+            self.assertIsNone(system.quarantine_left_s('a', 'f', 3.0))
+
     def test_payload_is_bounded_and_shared_by_accounts(self) -> None:
         """Guards against one account that takes all space in heartbeats."""
         system = routing.QuarantineSystem('vm-1', 'a')
