Keep a held value when a peer still refuses it

Cause: VMs hold a value that may be late for a time that differs by when they read it. A VM that used it and then fetched from one that did not would take its refusal for a deletion, and hold the value again. Seen by reading.

Change: a refusal of a peer counts only if nothing of the key was known before. The test of followers goes on to this point; it fails without the change. Rows of strikes with their crashes have a clearer name.

--- a/filbertstep/_quarantine.py
+++ b/filbertstep/_quarantine.py
@@ -87,7 +87,7 @@
     age_s: float
 
 
-class CrashesDoc(StrikeDoc):
+class IdentifiedStrikeDoc(StrikeDoc):
     """Strikes with their newest crashes.
 
     VMs of an earlier version send no crashes, and ignore them.
@@ -99,7 +99,7 @@
 class StrikesDoc(typing.TypedDict):
     """Heartbeat payload: the strikes that one VM counted itself."""
 
-    strikes: list[CrashesDoc]
+    strikes: list[IdentifiedStrikeDoc]
 
 
 class StrikeCount(typing.NamedTuple):
@@ -337,7 +337,7 @@
             ]
         }
 
-    def own_strikes(self, now: float) -> list[CrashesDoc]:
+    def own_strikes(self, now: float) -> list[IdentifiedStrikeDoc]:
         """Return the newest of this VM's own strikes with their crashes."""
         own = list(
             itertools.chain.from_iterable(
@@ -353,9 +353,9 @@
         account: str,
         rows: dict[Fingerprint, FingerprintStrikes],
         now: float,
-    ) -> list[CrashesDoc]:
+    ) -> list[IdentifiedStrikeDoc]:
         """Return the newest of this VM's own strikes of one account."""
-        docs: list[CrashesDoc] = [
+        docs: list[IdentifiedStrikeDoc] = [
             {
                 'account': account,
                 'fingerprint': fingerprint,
--- a/filbertstep/entry/_knowledge.py
+++ b/filbertstep/entry/_knowledge.py
@@ -101,13 +101,14 @@
     """Value of a key and the position of its last change.
 
     ``recency`` is that of the latest value that told one, ``seen_at`` when the
-    value came.
+    value came.  ``compared`` is set if an earlier state of the key was known.
     """
 
     value: bytes
     position: _contracts.Position
     recency: _contracts.Recency | None = None
     seen_at: float = float('-inf')
+    compared: bool = False
 
 
 class Tombstone(typing.NamedTuple):
@@ -363,7 +364,10 @@
             # A peer may still have the key and learn of its deletion from
             # here.
             self.add_tombstone(change.key, change.position, None, now)
-        elif current.position <= change.position:
+        elif current.position < change.position or (
+            # A peer refuses this value for a reason that was not known here.
+            current.position == change.position and not current.compared
+        ):
             if now < self.hold_deletions_until and self.rules.is_leased(
                 change.key
             ):
@@ -420,7 +424,7 @@
         self.held_deletions.pop(change.key, None)
         self.refused.pop(change.key, None)
         self.items[change.key] = StoredValue(
-            value, change.position, recency, now
+            value, change.position, recency, now, known is not None
         )
         self.on_change(change)
 
--- a/filbertstep/entry/_strikes.py
+++ b/filbertstep/entry/_strikes.py
@@ -52,7 +52,7 @@
     """Value of ``strikes/NAME/INCARNATION``; it identifies the process."""
 
     incarnation: str
-    strikes: list[routing.CrashesDoc]
+    strikes: list[routing.IdentifiedStrikeDoc]
 
 
 class StrikeTable:
@@ -166,7 +166,9 @@
         )
 
     def log_key(
-        self, change: _contracts.Change, strikes: list[routing.CrashesDoc]
+        self,
+        change: _contracts.Change,
+        strikes: list[routing.IdentifiedStrikeDoc],
     ) -> None:
         """Log a change of a ``strikes/`` key, and the requests in it."""
         self.log.write(
--- a/filbertstep/routing.py
+++ b/filbertstep/routing.py
@@ -29,8 +29,8 @@
 from filbertstep._probes import Prober as Prober
 from filbertstep._probes import ProbeResult as ProbeResult
 from filbertstep._quarantine import Crash as Crash
-from filbertstep._quarantine import CrashesDoc as CrashesDoc
 from filbertstep._quarantine import CrashesPart as CrashesPart
+from filbertstep._quarantine import IdentifiedStrikeDoc as IdentifiedStrikeDoc
 from filbertstep._quarantine import QuarantineSystem as QuarantineSystem
 from filbertstep._quarantine import request_fingerprint as request_fingerprint
 from filbertstep._quarantine import StrikeDoc as StrikeDoc
--- a/tests/test_entry_knowledge.py
+++ b/tests/test_entry_knowledge.py
@@ -427,12 +427,16 @@
         self.write(None, 1.0)
         follow(1.1)
         self.write(b'5 8', 2.0)
-        for now in (2.1, 2.5, 9.0, 9.9):
+        for now in (2.1, 4.5, 7.0, 9.0, 11.5, 14.0):
             follow(now)
             self.assertIsNone(self.value(replica=follower))
-        self.replica.apply_refused(13.1)
         follower.apply_refused(14.2)
         self.assertEqual(self.value(replica=follower), b'5 8')
+        # Its peer still refuses the value.
+        follow(14.3)
+        self.assertEqual(self.value(replica=follower), b'5 8')
+        self.replica.apply_refused(14.4)
+        self.assertEqual(self.value(), b'5 8')
 
 
 class TestLateServerEntries(unittest.TestCase):
