Keep as many crashes of a request as its quarantine needs

Cause: a row kept up to eight crashes of a request, more than any decision uses, and a node's heartbeat has a bound on its size.

Change: a row keeps as many as strikes make a quarantine. Measured: a value of 128 requests with three crashes each takes 48 KB, the crashes of a node's heartbeat with 16 fingerprints 4.6 KB, sent only while there are strikes.

--- a/filbertstep/_quarantine.py
+++ b/filbertstep/_quarantine.py
@@ -33,8 +33,8 @@
 # Fingerprints kept for an account; the oldest one is evicted.
 MAX_FINGERPRINTS_PER_ACCOUNT: typing.Final = 256
 
-# Fingerprints in one heartbeat.  One takes about 80 bytes, and a node may send
-# 8 KB/s for all control traffic.
+# Fingerprints in one heartbeat.  One takes about 100 bytes, and 190 more with
+# two crashes; a node may send 8 KB/s for all control traffic.
 MAX_SENT_FINGERPRINTS: typing.Final = 16
 
 # Limits the share of one account in a heartbeat.
@@ -43,9 +43,6 @@
 # A crashed server needs at least this time to start again.
 MIN_RESTART_S: typing.Final = 2.0
 
-# Crashes in one row that tell their server.  More than any limit of strikes.
-MAX_IDENTIFIED_CRASHES: typing.Final = 8
-
 Fingerprint = str
 
 QuarantineCallback = collections.abc.Callable[[str, Fingerprint], None]
@@ -247,7 +244,8 @@
         if crash is not None:
             if count_crashes((*crashes, crash)) == count_crashes(crashes):
                 return False
-            crashes = (*crashes, crash)[-MAX_IDENTIFIED_CRASHES:]
+            # With more, the number of strikes decides alone.
+            crashes = (*crashes, crash)[-self.strike_limit :]
         self.merge(
             account or '',
             fingerprint,
@@ -401,7 +399,7 @@
                             now - crash['broke_age_s'],
                         )
                         for crash in doc.get('crashes', [])[
-                            :MAX_IDENTIFIED_CRASHES
+                            -self.strike_limit :
                         ]
                     ),
                 )
--- a/filbertstep/entry/_strikes.py
+++ b/filbertstep/entry/_strikes.py
@@ -38,7 +38,7 @@
 QUARANTINE_S: typing.Final = 120.0
 
 # Requests in one value of a key, of all accounts and of one.  With three
-# crashes each, a value takes up to about 50 KB.
+# crashes each, a value takes up to 48 KB.
 MAX_WRITTEN_REQUESTS: typing.Final = 128
 MAX_WRITTEN_REQUESTS_PER_ACCOUNT: typing.Final = 32
 
