--- a/filbertstep/entry/_strikes.py
+++ b/filbertstep/entry/_strikes.py
@@ -2,9 +2,9 @@
 
 A request whose connection to a server broke before any answer gets a strike,
 one for each crash of a server; enough strikes without an answer in between
-quarantine the request.  Its caller
-may send it to any VM, so each VM writes its strikes to the store, from which
-the other VMs read them with everything else.
+quarantine the request.  Its caller may send it to any VM, so each VM writes
+its strikes to the store, from which the other VMs read them with everything
+else.
 
 Strikes must outlast the process that counted them.  Each process therefore has
 a key of its own, under a lease that lasts as long as a quarantine: the store
